Start the path on the users' platform

Cause: nothing of the product runs there yet. Follows the store's tables of configuration and replicas, forwards requests and streams with the plain policy.

--- a/blackboard/upstreams.go
+++ b/blackboard/upstreams.go
@@ -17,6 +17,10 @@
 	Engine zinniamast.Engine
 	// Service speaks to it if it is a plain service's replica.
 	Service zinniamast.Service
+	// Replica takes requests as they are; nil where only Engine or Service is used.
+	Replica zinniamast.Replica
+	// Slots is how many requests it says it runs at once; zero if unknown.
+	Slots int
 
 	leaving  atomic.Bool
 	leavesAt atomic.Int64
@@ -149,6 +153,19 @@
 	return true
 }
 
+// Readmit takes back a replica's present life after it was removed from the
+// list by mistake: its entry lapsed while the platform's store was away, and
+// came back. A replica that announced its leaving itself is not readmitted.
+func (u *Upstreams) Readmit(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.left, id)
+	if upstream, ok := u.byID[id]; ok {
+		upstream.leaving.Store(false)
+		upstream.leavesAt.Store(0)
+	}
+}
+
 // Bar refuses a replica's life that began at the given time or before, also if
 // it is not in the table yet: news that it leaves can overtake the list that
 // first shows it.
--- a/command/command.go
+++ b/command/command.go
@@ -26,6 +26,11 @@
 		help: "run an entry instance",
 		run:  Node,
 	},
+	{
+		name: "entry",
+		help: "run an entry instance on the users' platform",
+		run:  Entry,
+	},
 	{
 		name: "demo",
 		help: "run a node beside stand-ins for every outside system",
--- /dev/null
+++ b/command/entry.go
@@ -0,0 +1,67 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"zinniamast/entry"
+	"zinniamast/platform"
+)
+
+// Entry runs an entry instance on the users' platform.
+func Entry(args []string, _, errOut io.Writer) int {
+	flags := flag.NewFlagSet("entry", flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	level := flags.String("log-level", "info", "debug, info, warn or error")
+	path := flags.String("settings", os.Getenv(platform.SettingsVariable), "settings file")
+	if flags.Parse(args) != nil {
+		return exitUsage
+	}
+	if *path == "" || flags.NArg() > 0 {
+		fmt.Fprintln(errOut, "usage: zinniamast entry [-settings FILE] [-log-level LEVEL]")
+		return exitUsage
+	}
+	loaded, err := platform.LoadSettings(*path)
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	bound(loaded.MemoryBytes)
+	logger := newLogger(os.Stdout, *level)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	built, err := entry.New(entry.Config{
+		Settings: loaded,
+		Path:     *path,
+		Hangups:  hangups,
+		Logger:   logger,
+	})
+	if err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitFailed
+	}
+	if err := built.Run(ctx); err != nil {
+		logger.Error("entry failed", "cause", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+// memoryPart is the part of the instance's memory at which the collector works
+// harder; the rest is for what it does not count, such as unread input.
+const memoryPart = 0.6
+
+// bound tells the collector what the instance has.
+func bound(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(memory)))
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,228 @@
+// Package entry assembles an entry instance on the users' platform: its
+// tables, the followers of the platform's store, the listeners and its stop.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+	"zinniamast/forward"
+	"zinniamast/limits"
+	"zinniamast/nearest"
+	"zinniamast/plain"
+	"zinniamast/platform"
+	"zinniamast/quarantine"
+	"zinniamast/registry"
+	"zinniamast/retry"
+	"zinniamast/routes"
+)
+
+// Config says what an entry instance is made of.
+type Config struct {
+	Settings *platform.Settings
+	// Path is the settings file, read again on each of Hangups.
+	Path    string
+	Hangups <-chan os.Signal
+	Logger  *slog.Logger
+}
+
+const (
+	// headerTimeout and idleTimeout hold for callers until the configuration
+	// is known; they are the configuration's usual figures.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	// maxHeaderBytes bounds a caller's headers; net/http adds 4 KB of slack.
+	maxHeaderBytes = 16 << 10
+	// replicaDialTimeout bounds a connect; a live replica takes some milliseconds.
+	replicaDialTimeout = 500 * time.Millisecond
+	// replicaIdleTimeout is how long a connection to a replica is kept without use.
+	replicaIdleTimeout = 4 * time.Second
+	// stopMargin is what is left of the time to stop when running requests are
+	// given up.
+	stopMargin = 300 * time.Millisecond
+)
+
+// Entry is one entry instance.
+type Entry struct {
+	config    Config
+	routes    *routes.Table
+	upstreams *blackboard.Upstreams
+	follower  *registry.Follower
+	registry  *prometheus.Registry
+	callers   *http.Server
+	ready     *http.Server
+	listeners []net.Listener
+	stopping  atomic.Bool
+}
+
+// New builds an entry instance and opens its listeners.
+func New(config Config) (*Entry, error) {
+	e := &Entry{
+		config:    config,
+		routes:    &routes.Table{},
+		upstreams: blackboard.NewUpstreams(),
+		registry:  prometheus.NewRegistry(),
+	}
+	for _, address := range []string{config.Settings.Frontend, config.Settings.Ready} {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		e.listeners = append(e.listeners, listener)
+	}
+	e.assemble()
+	return e, nil
+}
+
+// assemble wires the controllers.
+func (e *Entry) assemble() {
+	s := e.config.Settings
+	e.follower = registry.NewFollower(registry.FollowerConfig{
+		Source:    platform.NewStore(s.StoreAddress),
+		Routes:    e.routes,
+		Upstreams: e.upstreams,
+		Build:     newReplica,
+		Logger:    e.config.Logger,
+	})
+	handler := forward.New(forward.Config{
+		Routes:    e.routes,
+		Upstreams: e.upstreams,
+		Router: nearest.New(nearest.Config{
+			Upstreams:     e.upstreams,
+			FailureDomain: s.FailureDomain,
+		}),
+		Protocol: platform.Headers{},
+		Budget: retry.NewWindow(retry.WindowConfig{
+			Ratio:  s.Bounds.RetryRatio,
+			Slack:  s.Bounds.RetrySlack,
+			Window: s.Bounds.RetryWindow,
+			Nodes:  func() int { return 12 },
+		}),
+		Allowance: limits.NewAllowance(limits.AllowanceConfig{
+			Part: func() float64 { return 1.0 / 9 },
+		}),
+		Quarantine: quarantine.New(quarantine.Config{
+			Logger:     e.config.Logger,
+			Registerer: e.registry,
+		}),
+		Meter:      nobody{},
+		Stopping:   e.stopping.Load,
+		Logger:     e.config.Logger,
+		Registerer: e.registry,
+	})
+	e.callers = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(e.config.Logger.Handler(), slog.LevelDebug),
+	}
+	e.ready = &http.Server{
+		Handler:           e.readiness(),
+		ReadHeaderTimeout: headerTimeout,
+	}
+}
+
+type nobody struct{}
+
+func (nobody) Began(string, time.Time) {}
+
+// newReplica returns the client of a replica.
+func newReplica(id, address string) zinniamast.Replica {
+	return plain.New(plain.Config{
+		Upstream:    id,
+		Address:     "http://" + address,
+		DialTimeout: replicaDialTimeout,
+		IdleTimeout: replicaIdleTimeout,
+	})
+}
+
+// readiness answers the balancer.
+func (e *Entry) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if e.stopping.Load() || !e.follower.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (e *Entry) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	var controllers sync.WaitGroup
+	controllers.Go(func() { e.follower.Run(life) })
+	controllers.Go(func() { e.reload(life) })
+	failed := make(chan error, 2)
+	go func() { failed <- e.callers.Serve(e.listeners[0]) }()
+	go func() { failed <- e.ready.Serve(e.listeners[1]) }()
+	e.config.Logger.Info("started", "instance", e.config.Settings.Instance,
+		"failure_domain", e.config.Settings.FailureDomain, "listen", e.config.Settings.Frontend)
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	e.stop()
+	end()
+	controllers.Wait()
+	return nil
+}
+
+// reload reads the settings again when the platform says that they changed.
+// Addresses and sizes of a running process stay; what is new is logged.
+func (e *Entry) reload(ctx context.Context) {
+	for {
+		select {
+		case <-e.config.Hangups:
+		case <-ctx.Done():
+			return
+		}
+		if _, err := platform.LoadSettings(e.config.Path); err != nil {
+			e.config.Logger.Warn("settings kept", "cause", err)
+			continue
+		}
+		e.config.Logger.Info("settings read again", "instance", e.config.Settings.Instance)
+	}
+}
+
+// stop finishes what runs. The balancer is told first and connections are
+// closed with their next answer, so that nobody's request meets a closed one.
+func (e *Entry) stop() {
+	began := time.Now()
+	e.stopping.Store(true)
+	e.config.Logger.Info("stopping", "instance", e.config.Settings.Instance)
+	ctx, cancel := context.WithTimeout(context.Background(), e.config.Settings.StopTimeout-stopMargin)
+	defer cancel()
+	// New connections come until the balancer has asked twice.
+	select {
+	case <-time.After(stopLinger):
+	case <-ctx.Done():
+	}
+	if err := e.callers.Shutdown(ctx); err != nil {
+		e.config.Logger.Warn("stopped with requests running", "cause", err)
+	}
+	e.config.Logger.Info("stopped", "instance", e.config.Settings.Instance, "took", time.Since(began))
+}
+
+// stopLinger is how long a stopping node goes on accepting: the balancer asks
+// each second and takes a node out after two answers, and an idle caller's
+// next request should still find its connection open.
+const stopLinger = 3500 * time.Millisecond
--- /dev/null
+++ b/forward/handler.go
@@ -0,0 +1,368 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/xxh3"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+	"zinniamast/routes"
+)
+
+// Budget bounds repeated sends to a service over all nodes.
+type Budget interface {
+	// Started counts a request's first send.
+	Started(service string)
+	// Again says whether one more send may go out, and counts it.
+	Again(service string) bool
+}
+
+// Allowance bounds what organisations may ask over all nodes.
+type Allowance interface {
+	// Take takes a request's amount; where the organisation has no more it
+	// returns when it will.
+	Take(organisation *routes.Organisation, amount float64) (wait time.Duration, ok bool)
+}
+
+// Meter counts requests that began to run, for the usage reports.
+type Meter interface {
+	Began(organisation string, at time.Time)
+}
+
+// Config says what a handler works with.
+type Config struct {
+	Routes     *routes.Table
+	Upstreams  *blackboard.Upstreams
+	Router     zinniamast.Router
+	Protocol   Protocol
+	Budget     Budget
+	Allowance  Allowance
+	Quarantine zinniamast.Quarantine
+	Meter      Meter
+	// Stopping says that the node is about to stop: connections are closed with their next answer.
+	Stopping func() bool
+	Logger   *slog.Logger
+	// Registerer takes the metrics; nil keeps them unregistered.
+	Registerer prometheus.Registerer
+}
+
+// Handler answers callers.
+type Handler struct {
+	config  Config
+	metrics *metrics
+}
+
+// New returns a handler.
+func New(config Config) *Handler {
+	return &Handler{
+		config:  config,
+		metrics: newMetrics(config.Registerer),
+	}
+}
+
+// defaultBudget is how long a caller waits that does not say, on a route without a timeout.
+const defaultBudget = 30 * time.Second
+
+// startingRetryAfter is when a node that knows no configuration yet probably does.
+const startingRetryAfter = 500 * time.Millisecond
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if h.config.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	c, refusal := h.admit(r, arrived)
+	if refusal == nil {
+		refusal = h.readBody(w, r, c)
+	}
+	if refusal == nil {
+		refusal = h.allow(c)
+	}
+	if refusal != nil {
+		h.refuse(w, c, refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	h.run(ctx, w, c)
+}
+
+// call is one caller's request on its way.
+type call struct {
+	request *http.Request
+	ask     Ask
+	arrived time.Time
+	// deadline is when the caller has an answer, whatever it is.
+	deadline     time.Time
+	route        *routes.Route
+	service      string
+	organisation *routes.Organisation
+	limits       routes.Limits
+	priority     int
+	body         []byte
+	fingerprint  uint64
+	prefix       []uint64
+
+	// sends counts replicas that may have run the request, and avoid names
+	// those that it shall not go to again.
+	sends int
+	avoid []string
+	// arrivals counts sends that reached a replica, run or not.
+	arrivals int
+	// ran is what is known of all sends so far.
+	ran zinniamast.Ran
+	// began says that its beginning to run was counted.
+	began bool
+	// held keeps a replica's own failure, to be passed on if nothing better comes.
+	held *answer
+}
+
+// admit finds the route and the organisation of a request.
+func (h *Handler) admit(r *http.Request, arrived time.Time) (*call, *zinniamast.Refusal) {
+	c := &call{
+		request: r,
+		ask:     h.config.Protocol.Ask(r.Header),
+		arrived: arrived,
+		ran:     zinniamast.NotRun,
+	}
+	table := h.config.Routes.Current()
+	if table == nil {
+		return c, zinniamast.Refuse(zinniamast.ReasonStarting, "no configuration yet").After(startingRetryAfter)
+	}
+	c.limits = table.Limits
+	c.route = table.Match(hostOf(r), r.URL.Path)
+	if c.route == nil {
+		return c, zinniamast.Refuse(zinniamast.ReasonNotFound, "no route")
+	}
+	c.organisation = table.Organisation(c.ask.Key)
+	if len(table.Organisations) > 0 && !c.route.Anonymous && c.organisation == nil {
+		return c, zinniamast.Refuse(zinniamast.ReasonUnauthorised, "unknown key")
+	}
+	c.service = pick(c.route, c.ask.ID)
+	if c.service == "" {
+		return c, zinniamast.Refuse(zinniamast.ReasonNoUpstream, "the route has no service").After(noReplicaRetryAfter)
+	}
+	c.priority = c.route.Priority
+	if c.organisation != nil && c.organisation.Priority != nil {
+		c.priority = *c.organisation.Priority
+	}
+	c.deadline = deadline(c, arrived)
+	c.prefix = prefixOf(c.ask.Parts)
+	return c, nil
+}
+
+func hostOf(r *http.Request) string {
+	host, _, found := strings.Cut(r.Host, ":")
+	if found {
+		return host
+	}
+	return r.Host
+}
+
+// pick draws the route's service by the request's ID, in the parts that the split gives.
+func pick(r *routes.Route, id string) string {
+	total := 0
+	for _, share := range r.Split {
+		total += max(0, share.Weight)
+	}
+	if total == 0 {
+		if len(r.Split) > 0 {
+			return r.Split[0].Service
+		}
+		return ""
+	}
+	draw := int(xxh3.HashString(id) % uint64(total))
+	for _, share := range r.Split {
+		draw -= max(0, share.Weight)
+		if draw < 0 {
+			return share.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// deadline is the earlier one of the caller's and the route's.
+func deadline(c *call, arrived time.Time) time.Time {
+	budget := c.ask.Budget
+	if budget == 0 {
+		budget = defaultBudget
+	}
+	if c.route.Timeout > 0 {
+		budget = min(budget, c.route.Timeout)
+	}
+	return arrived.Add(budget)
+}
+
+// readBody reads the body within the configured bounds.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, c *call) *zinniamast.Refusal {
+	if r.Body == nil || r.ContentLength == 0 {
+		c.fingerprint = fingerprint(c)
+		return nil
+	}
+	limit := c.limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if r.ContentLength > limit {
+		return zinniamast.Refuse(zinniamast.ReasonOversized, "the body is larger than %d bytes", limit)
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(c.deadline); err != nil {
+		h.config.Logger.Debug("no read deadline", "cause", err)
+	}
+	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return zinniamast.Refuse(zinniamast.ReasonOversized, "the body is larger than %d bytes", limit)
+		}
+		return zinniamast.Refuse(zinniamast.ReasonMalformed, "the body cannot be read")
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+		h.config.Logger.Debug("no read deadline", "cause", err)
+	}
+	c.body = body
+	c.fingerprint = fingerprint(c)
+	return nil
+}
+
+// defaultMaxBody holds where the configuration gives no bound.
+const defaultMaxBody = 4 << 20
+
+// readAll reads a body of a known length into one buffer of that size.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	if length <= 0 {
+		return io.ReadAll(body)
+	}
+	buffer := make([]byte, length)
+	_, err := io.ReadFull(body, buffer)
+	return buffer, err
+}
+
+// fingerprint names the content of a request, whoever's attempt it is.
+func fingerprint(c *call) uint64 {
+	hash := xxh3.New()
+	for _, part := range []string{c.request.Method, c.request.RequestURI, c.ask.Key} {
+		_, _ = hash.WriteString(part)
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(c.body)
+	return hash.Sum64()
+}
+
+// prefixOf hashes each leading run of parts.
+func prefixOf(parts []Part) []uint64 {
+	if len(parts) == 0 {
+		return nil
+	}
+	prefix := make([]uint64, 0, len(parts))
+	last := uint64(0)
+	for _, part := range parts {
+		last = xxh3.Hash([]byte{
+			byte(last), byte(last >> 8), byte(last >> 16), byte(last >> 24),
+			byte(last >> 32), byte(last >> 40), byte(last >> 48), byte(last >> 56),
+			byte(part.ID), byte(part.ID >> 8), byte(part.ID >> 16), byte(part.ID >> 24),
+			byte(part.ID >> 32), byte(part.ID >> 40), byte(part.ID >> 48), byte(part.ID >> 56),
+		})
+		prefix = append(prefix, last)
+	}
+	return prefix
+}
+
+// allow takes the request's amount from its organisation's allowance.
+func (h *Handler) allow(c *call) *zinniamast.Refusal {
+	if _, err := h.config.Quarantine.Check(c.fingerprint); err != nil {
+		return zinniamast.AsRefusal(err)
+	}
+	if c.organisation == nil || c.organisation.Rate <= 0 {
+		return nil
+	}
+	amount := 1.0
+	if c.organisation.ByTokens {
+		amount = float64(c.organisation.UncountedTokens)
+		if c.ask.Counted {
+			amount = float64(c.ask.PromptTokens + c.ask.MaxTokens)
+		}
+	}
+	wait, ok := h.config.Allowance.Take(c.organisation, amount)
+	if ok {
+		return nil
+	}
+	return zinniamast.Refuse(zinniamast.ReasonOverShare, "the allowance is used up").After(wait)
+}
+
+// refuse answers a request that this node ends itself.
+func (h *Handler) refuse(w http.ResponseWriter, c *call, refusal *zinniamast.Refusal) {
+	status := statusOf(refusal)
+	header := w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if refusal.RetryAfter > 0 && refusal.Ran == zinniamast.NotRun {
+		header.Set("Retry-After", h.config.Protocol.RetryAfter(refusal.RetryAfter))
+	}
+	if status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge {
+		header.Set("Connection", "close")
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, refusal.Message+"\n")
+	h.metrics.refused.WithLabelValues(string(refusal.Reason)).Inc()
+	h.config.Logger.Info("refused", "request", c.ask.ID, "status", status, "reason", refusal.Reason,
+		"ran", refusal.Ran, "service", c.service, "arrivals", c.arrivals, "avoid", c.avoid,
+		"retry_after", refusal.RetryAfter, "elapsed", time.Since(c.arrived).Round(time.Millisecond))
+}
+
+// statusOf gives the status that a refusal may have. 429 and 503 promise that
+// the request has not run and never will; what may have run is answered 502,
+// or 504 where its time is up, which promise nothing.
+func statusOf(refusal *zinniamast.Refusal) int {
+	status := refusal.Status()
+	promises := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	if promises && refusal.Ran != zinniamast.NotRun {
+		return http.StatusBadGateway
+	}
+	if status == http.StatusUnprocessableEntity {
+		return http.StatusBadGateway
+	}
+	return status
+}
+
+// hopByHop are headers that concern one connection only.
+var hopByHop = []string{
+	"Connection",
+	"Proxy-Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+	"Expect",
+}
+
+// dropHopByHop removes headers of one connection, also those that it names itself.
+func dropHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// avoids adds a replica to those that the request shall not go to again.
+func (c *call) avoids(id string) {
+	if !slices.Contains(c.avoid, id) {
+		c.avoid = append(c.avoid, id)
+	}
+}
--- /dev/null
+++ b/forward/run.go
@@ -0,0 +1,295 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+)
+
+const (
+	// maxArrivals bounds the sends of one request that reach a replica, also
+	// those that the replica turns away: a fourth replica of a full service
+	// would turn it away too, and each costs the fleet's budget.
+	maxArrivals = 3
+	// maxDials bounds tries at replicas that take no connection at all.
+	maxDials = 4
+	// noReplicaRetryAfter is when a service without replicas may have one again:
+	// replicas take some seconds to start, and entries lapse for about two.
+	noReplicaRetryAfter = 2 * time.Second
+	// fullRetryAfter is when replicas that turned a request away may have room:
+	// a place becomes free with each answer, many times a second.
+	fullRetryAfter = 300 * time.Millisecond
+)
+
+// run sends a request to replicas until one has answered.
+func (h *Handler) run(ctx context.Context, w http.ResponseWriter, c *call) {
+	h.config.Budget.Started(c.service)
+	a := &answer{
+		writer: w,
+	}
+	for dials := 0; ; {
+		upstream, refusal := h.choose(c)
+		if refusal != nil {
+			h.giveUp(ctx, a, c, refusal)
+			return
+		}
+		failure := h.attempt(ctx, a, c, upstream)
+		if failure == nil {
+			h.finished(a, c, upstream)
+			return
+		}
+		if failure.Failure == zinniamast.FailureDial {
+			dials++
+		}
+		if refusal := h.judge(ctx, a, c, failure, dials); refusal != nil {
+			h.giveUp(ctx, a, c, refusal)
+			return
+		}
+		h.metrics.again.WithLabelValues(string(failure.Failure)).Inc()
+		h.config.Logger.Info("sent again", "request", c.ask.ID, "service", c.service, "replica", upstream.Instance.ID,
+			"failure", failure.Failure, "cause", failure.Cause, "sends", c.sends, "arrivals", c.arrivals, "after", a.last)
+	}
+}
+
+// choose asks for the next replica.
+func (h *Handler) choose(c *call) (*blackboard.Upstream, *zinniamast.Refusal) {
+	choice, err := h.config.Router.Route(&zinniamast.Need{
+		Request:             c.ask.ID,
+		Service:             c.service,
+		Organisation:        c.organisationName(),
+		Priority:            c.priority,
+		PromptTokens:        c.ask.PromptTokens,
+		MaxTokens:           c.ask.MaxTokens,
+		Prefix:              c.prefix,
+		Deadline:            c.deadline,
+		FirstTokenTarget:    c.route.Target,
+		BetweenTokensTarget: c.route.PauseTarget,
+		Avoid:               c.avoid,
+	})
+	if err != nil {
+		return nil, zinniamast.AsRefusal(err)
+	}
+	upstream := h.config.Upstreams.Get(choice.Upstream)
+	if upstream == nil {
+		return nil, zinniamast.Refuse(zinniamast.ReasonNoUpstream, "no replica").After(noReplicaRetryAfter)
+	}
+	return upstream, nil
+}
+
+// attempt sends the request to one replica and passes its answer on; nil means
+// that the caller has a whole answer.
+func (h *Handler) attempt(ctx context.Context, a *answer, c *call, upstream *blackboard.Upstream) *zinniamast.UpstreamError {
+	upstream.Enter()
+	defer upstream.Exit()
+	id := upstream.Instance.ID
+	h.config.Quarantine.Running(id, c.fingerprint)
+	defer h.config.Quarantine.Ended(id, c.fingerprint)
+	started := time.Now()
+	h.observe(c, id, zinniamast.ObservedStart, 0, "")
+	failure := h.exchange(ctx, a, c, upstream, started)
+	if failure == nil {
+		h.observe(c, id, zinniamast.ObservedEnd, time.Since(started), "")
+		return nil
+	}
+	if ctx.Err() != nil && failure.Failure != zinniamast.FailureDial {
+		failure.Failure = zinniamast.FailureStopped
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			failure.Failure = zinniamast.FailureTimeout
+		}
+	}
+	h.observe(c, id, zinniamast.ObservedEnd, time.Since(started), failure.Failure)
+	if failure.Outcome().MayHaveCrashed {
+		h.config.Quarantine.Crashed(id)
+	}
+	return failure
+}
+
+func (h *Handler) observe(c *call, upstream string, kind zinniamast.ObservationKind, elapsed time.Duration, failure zinniamast.Failure) {
+	h.config.Router.Observe(zinniamast.Observation{
+		Kind:         kind,
+		Attempt:      c.ask.ID,
+		Upstream:     upstream,
+		Priority:     c.priority,
+		Elapsed:      elapsed,
+		PromptTokens: c.ask.PromptTokens,
+		Prefix:       c.prefix,
+		Failure:      failure,
+	})
+}
+
+// exchange is one send and its answer.
+func (h *Handler) exchange(ctx context.Context, a *answer, c *call, upstream *blackboard.Upstream, started time.Time) *zinniamast.UpstreamError {
+	request, err := h.request(c, upstream, a.last)
+	if err != nil {
+		return fail(upstream, zinniamast.FailureInvalid, err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := startWatch(patience(c), cancel)
+	defer watch.stop()
+	response, err := upstream.Replica.Send(ctx, request)
+	if err != nil {
+		failure := zinniamast.AsUpstreamError(err)
+		if watch.expired() && failure.Failure != zinniamast.FailureDial {
+			failure.Failure = zinniamast.FailureTimeout
+		}
+		c.count(failure)
+		return failure
+	}
+	defer response.Body.Close()
+	failure := h.take(a, c, upstream, response, watch, started)
+	if failure != nil && watch.expired() {
+		failure.Failure = zinniamast.FailureTimeout
+	}
+	c.count(failure)
+	return failure
+}
+
+// count notes what a send did.
+func (c *call) count(failure *zinniamast.UpstreamError) {
+	if failure == nil {
+		c.arrivals++
+		c.sends++
+		c.ran = zinniamast.DidRun
+		return
+	}
+	if failure.Failure != zinniamast.FailureDial {
+		c.arrivals++
+	}
+	outcome := failure.Outcome()
+	if outcome.Ran == zinniamast.NotRun {
+		return
+	}
+	c.sends++
+	if c.ran != zinniamast.DidRun {
+		c.ran = outcome.Ran
+	}
+}
+
+// request builds what a replica gets: the caller's method, path and body
+// unchanged, with what is left of the caller's time.
+func (h *Handler) request(c *call, upstream *blackboard.Upstream, after string) (*http.Request, error) {
+	if !strings.HasPrefix(c.request.RequestURI, "/") {
+		return nil, fmt.Errorf("forward: the request's target %q is no path", c.request.RequestURI)
+	}
+	header := c.request.Header.Clone()
+	dropHopByHop(header)
+	header.Del("Content-Length")
+	if _, ok := header["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding its own.
+		header["User-Agent"] = []string{""}
+	}
+	h.config.Protocol.Deliver(header, Delivery{
+		Instance:     upstream.Instance.ID,
+		Organisation: c.organisationName(),
+		Left:         time.Until(c.deadline),
+		Priority:     c.priority,
+		After:        after,
+	})
+	request := &http.Request{
+		Method: c.request.Method,
+		// Opaque goes onto the request line as it is.
+		URL: &url.URL{
+			Scheme: "http",
+			Host:   upstream.Instance.Address,
+			Opaque: c.request.RequestURI,
+		},
+		Host:       c.request.Host,
+		Header:     header,
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+	}
+	setBody(request, c.body)
+	return request, nil
+}
+
+func (c *call) organisationName() string {
+	if c.organisation == nil {
+		return ""
+	}
+	return c.organisation.Name
+}
+
+// judge decides whether a request goes on after a failed send; a refusal says
+// that it does not.
+func (h *Handler) judge(ctx context.Context, a *answer, c *call, failure *zinniamast.UpstreamError, dials int) *zinniamast.Refusal {
+	c.avoids(failure.Upstream)
+	if ctx.Err() != nil {
+		return h.ended(ctx, c)
+	}
+	if dials >= maxDials {
+		return zinniamast.Refuse(zinniamast.ReasonNoUpstream, "no replica takes connections").With(c.ran).After(noReplicaRetryAfter)
+	}
+	if failure.Failure == zinniamast.FailureDial {
+		return nil
+	}
+	ran := failure.Outcome().Ran
+	if ran != zinniamast.NotRun && !c.route.Repeatable() {
+		return h.failed(c)
+	}
+	if ran != zinniamast.NotRun && c.sends >= c.route.MaxAttempts || c.arrivals >= maxArrivals {
+		return h.failed(c)
+	}
+	if !h.config.Budget.Again(c.service) {
+		return zinniamast.Refuse(zinniamast.ReasonRetryBudget, "the service's retries are used up").With(c.ran).After(fullRetryAfter)
+	}
+	return nil
+}
+
+// failed is the refusal of a request that no further replica is asked for.
+func (h *Handler) failed(c *call) *zinniamast.Refusal {
+	if c.ran == zinniamast.NotRun {
+		return zinniamast.Refuse(zinniamast.ReasonNoCapacity, "the replicas are full").After(fullRetryAfter)
+	}
+	return zinniamast.Refuse(zinniamast.ReasonUpstreamFailed, "the replica failed").With(c.ran)
+}
+
+// ended is the refusal of a request whose time is up or whose caller has left.
+func (h *Handler) ended(ctx context.Context, c *call) *zinniamast.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if c.ran == zinniamast.NotRun {
+			return zinniamast.Refuse(zinniamast.ReasonDeadlineUnmet, "no replica took the request in time")
+		}
+		return zinniamast.Refuse(zinniamast.ReasonPastDeadline, "the deadline has passed").With(c.ran)
+	}
+	return zinniamast.Refuse(zinniamast.ReasonCancelled, "the caller has left").With(c.ran)
+}
+
+// giveUp ends a request without a whole answer. Once an answer has begun only
+// a broken connection tells the caller that it is not whole.
+func (h *Handler) giveUp(ctx context.Context, a *answer, c *call, refusal *zinniamast.Refusal) {
+	if a.began {
+		h.metrics.refused.WithLabelValues(string(zinniamast.ReasonAnswerCutShort)).Inc()
+		h.config.Logger.Info("broken off", "request", c.ask.ID, "service", c.service, "reason", refusal.Reason,
+			"last_event", a.last, "sends", c.sends, "avoid", c.avoid, "elapsed", time.Since(c.arrived).Round(time.Millisecond))
+		panic(http.ErrAbortHandler)
+	}
+	if c.held != nil && ctx.Err() == nil {
+		c.held.deliver(a.writer)
+		h.finishedHeld(c)
+		return
+	}
+	refusal.Ran = c.ran
+	if refusal.Reason == zinniamast.ReasonCancelled {
+		h.config.Logger.Info("caller left", "request", c.ask.ID, "service", c.service,
+			"sends", c.sends, "elapsed", time.Since(c.arrived).Round(time.Millisecond))
+		panic(http.ErrAbortHandler)
+	}
+	h.refuse(a.writer, c, refusal)
+}
+
+func fail(upstream *blackboard.Upstream, failure zinniamast.Failure, cause error) *zinniamast.UpstreamError {
+	return &zinniamast.UpstreamError{
+		Failure:  failure,
+		Upstream: upstream.Instance.ID,
+		Cause:    cause,
+	}
+}
--- a/httplimit/client.go
+++ b/httplimit/client.go
@@ -25,12 +25,35 @@
 // dialTimeout bounds the connect alone, so that a dead address is told from a slow one.
 const dialTimeout = 2 * time.Second
 
+// Keep-alive probes of a connection without traffic.
+//
+// Failure: a connection goes silent without a reset while new ones to the same
+// peer work; a call that waits on it would hang until its own timeout. With a
+// probe after a second and two more a second apart the kernel ends such a
+// connection within three seconds.
+const (
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+)
+
+// Dialer returns a dialer whose connections notice a silent peer within seconds.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+	}
+}
+
 // NewClient returns a client with bounds.
 func NewClient(c Config) *http.Client {
 	transport := &http.Transport{
-		DialContext: (&net.Dialer{
-			Timeout: dialTimeout,
-		}).DialContext,
+		DialContext:           Dialer(dialTimeout).DialContext,
 		MaxConnsPerHost:       c.MaxConnections,
 		MaxIdleConnsPerHost:   c.MaxConnections,
 		IdleConnTimeout:       30 * time.Second,
--- /dev/null
+++ b/limits/allowance.go
@@ -0,0 +1,74 @@
+package limits
+
+import (
+	"sync"
+	"time"
+
+	"zinniamast/routes"
+)
+
+// AllowanceConfig says how a node divides organisations' allowances.
+type AllowanceConfig struct {
+	// Part returns the part of the fleet's allowance that this node may give out.
+	Part func() float64
+	// Now tells the time; nil is time.Now.
+	Now func() time.Time
+}
+
+// Allowance gives out this node's part of each organisation's rate and burst.
+// Parts add up to at most the whole, so that the bound holds over all nodes
+// while they do not hear each other.
+type Allowance struct {
+	config AllowanceConfig
+
+	mu      sync.Mutex
+	buckets map[string]*bucket
+}
+
+// bucket holds what an organisation may still take here.
+type bucket struct {
+	left float64
+	at   time.Time
+}
+
+// NewAllowance returns full allowances.
+func NewAllowance(config AllowanceConfig) *Allowance {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Allowance{
+		config:  config,
+		buckets: map[string]*bucket{},
+	}
+}
+
+// maxAllowanceWait bounds the time a caller is told to stay away; an amount
+// larger than the node's whole burst would otherwise never fit.
+const maxAllowanceWait = 10 * time.Second
+
+// Take takes an amount, or returns when it will be there.
+func (a *Allowance) Take(o *routes.Organisation, amount float64) (time.Duration, bool) {
+	part := a.config.Part()
+	rate, burst := o.Rate*part, o.Burst*part
+	now := a.config.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b, ok := a.buckets[o.Name]
+	if !ok {
+		b = &bucket{
+			left: burst,
+			at:   now,
+		}
+		a.buckets[o.Name] = b
+	}
+	b.left = min(burst, b.left+rate*max(0, now.Sub(b.at).Seconds()))
+	b.at = now
+	// An amount above the burst takes the bucket below zero, or a small node
+	// would never let a large request through; the debt is paid off before the next.
+	if b.left >= min(amount, burst) {
+		b.left -= amount
+		return 0, true
+	}
+	wait := time.Duration((min(amount, burst) - b.left) / rate * float64(time.Second))
+	return min(wait, maxAllowanceWait), false
+}
--- a/plain/client.go
+++ b/plain/client.go
@@ -48,7 +48,10 @@
 	transport *http.Transport
 }
 
-var _ zinniamast.Service = (*Client)(nil)
+var (
+	_ zinniamast.Service = (*Client)(nil)
+	_ zinniamast.Replica = (*Client)(nil)
+)
 
 // New returns a client of one replica.
 func New(config Config) *Client {
@@ -80,8 +83,21 @@
 // follows no redirect. With FailureError the service's own answer is returned
 // beside the error.
 func (c *Client) Call(ctx context.Context, call zinniamast.ServiceCall) (zinniamast.ServiceAnswer, error) {
+	request, err := c.request(ctx, call)
+	if err != nil {
+		return zinniamast.ServiceAnswer{}, c.failed(zinniamast.FailureInvalid, err)
+	}
+	response, err := c.Send(ctx, request)
+	if err != nil {
+		return zinniamast.ServiceAnswer{}, err
+	}
+	defer response.Body.Close()
+	return c.answer(ctx, call, response)
+}
+
+// Send implements zinniamast.Replica.
+func (c *Client) Send(ctx context.Context, request *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	sending := &once{
 		deadline: time.Unix(0, math.MaxInt64),
 		cancel:   cancel,
@@ -89,24 +105,37 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		sending.deadline = deadline
 	}
-	request, err := c.request(ctx, call, sending)
-	if err != nil {
-		return zinniamast.ServiceAnswer{}, c.failed(zinniamast.FailureInvalid, err)
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { sending.gotConn(info.Conn) },
 	}
-	response, err := c.transport.RoundTrip(request)
+	response, err := c.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return zinniamast.ServiceAnswer{}, c.unanswered(ctx, sending, err)
+		failure := c.unanswered(ctx, sending, err)
+		cancel()
+		return nil, failure
 	}
-	defer response.Body.Close()
-	return c.answer(ctx, call, response)
+	response.Body = &cancelBody{
+		ReadCloser: response.Body,
+		cancel:     cancel,
+	}
+	return response, nil
+}
+
+// cancelBody ends the attempt's context with its body.
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *cancelBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
 }
 
 // request builds the HTTP request of one attempt.
-func (c *Client) request(ctx context.Context, call zinniamast.ServiceCall, sending *once) (*http.Request, error) {
-	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { sending.gotConn(info.Conn) },
-	}
-	ctx = httptrace.WithClientTrace(ctx, trace)
+func (c *Client) request(ctx context.Context, call zinniamast.ServiceCall) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, c.config.Address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, err
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"zinniamast/httplimit"
 )
 
 // errSealed is what a connection answers once a request may not be sent on it.
@@ -60,9 +62,7 @@
 
 // dialer returns a dial function whose connections are of type *conn.
 func dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
-	d := &net.Dialer{
-		Timeout: timeout,
-	}
+	d := httplimit.Dialer(timeout)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, address)
 		if err != nil {
--- /dev/null
+++ b/registry/follower.go
@@ -0,0 +1,320 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+	"zinniamast/routes"
+)
+
+const (
+	// feedWait is how long a feed is asked to wait for a change. Longer waits
+	// cost fewer calls; keep-alive probes notice a silent connection sooner.
+	feedWait = 10 * time.Second
+	// minPause and maxPause bound the wait after a failed call.
+	minPause = 100 * time.Millisecond
+	maxPause = 800 * time.Millisecond
+	// lapseGrace is how long after the store's return an entry that lapsed while
+	// it was away may take to come back; the platform names two seconds.
+	lapseGrace = 2200 * time.Millisecond
+	// troubleMemory is how long after a failed call a vanished entry may be one that lapsed.
+	troubleMemory = 3 * time.Second
+	// goneMemory is how long a replica that is gone stays in the table for what still runs there.
+	goneMemory = 30 * time.Second
+)
+
+// FollowerConfig says what a follower keeps up to date.
+type FollowerConfig struct {
+	// Source is the platform's store.
+	Source Source
+	// Routes is the table of configurations to keep.
+	Routes *routes.Table
+	// Upstreams is the table of replicas to keep.
+	Upstreams *blackboard.Upstreams
+	// Build returns the client of a replica at host:port.
+	Build func(id, address string) zinniamast.Replica
+	// Logger hears of versions, replicas and the store's losses; nil means slog's default.
+	Logger *slog.Logger
+}
+
+// Follower keeps the tables as the store has them. Its two loops share nothing
+// but the counter of failures.
+type Follower struct {
+	config FollowerConfig
+	// failed is when a call to the store last failed, in nanoseconds since 1970.
+	failed atomic.Int64
+	// ready says that the replicas were read once.
+	ready atomic.Bool
+
+	// The rest belongs to the replicas' loop.
+
+	// seen holds the newest version of each entry, also of removed ones, so
+	// that a stale answer undoes nothing.
+	seen map[string]uint64
+	// lapsed holds entries that vanished around an outage, with the time from
+	// which they count as gone.
+	lapsed map[string]time.Time
+	// gone holds when replicas left the list.
+	gone map[string]time.Time
+}
+
+// NewFollower returns a follower; Run starts it.
+func NewFollower(config FollowerConfig) *Follower {
+	if config.Logger == nil {
+		config.Logger = slog.Default()
+	}
+	return &Follower{
+		config: config,
+		seen:   map[string]uint64{},
+		lapsed: map[string]time.Time{},
+		gone:   map[string]time.Time{},
+	}
+}
+
+// Ready says whether replicas and a configuration are known.
+func (f *Follower) Ready() bool { return f.ready.Load() && f.config.Routes.Current() != nil }
+
+// Run follows both tables until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.followConfig(ctx)
+	}()
+	f.followReplicas(ctx)
+	<-done
+}
+
+// position is where a feed stands; it is lost with the feed's history.
+type position struct {
+	at    uint64
+	known bool
+	pause time.Duration
+	name  string
+}
+
+// after judges a call's error: it says whether the answer may be used, and
+// pauses where it may not.
+func (f *Follower) after(ctx context.Context, p *position, err error) bool {
+	if err == nil {
+		if p.pause > 0 {
+			f.config.Logger.Info("store regained", "table", p.name)
+		}
+		p.pause = 0
+		return true
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	if errors.Is(err, ErrHistoryGone) {
+		f.config.Logger.Info("feed lost its history, reading whole", "table", p.name)
+		p.known = false
+		return false
+	}
+	f.failed.Store(time.Now().UnixNano())
+	if p.pause == 0 {
+		f.config.Logger.Warn("store lost", "table", p.name, "cause", err)
+	}
+	p.pause = min(max(2*p.pause, minPause), maxPause)
+	select {
+	case <-time.After(p.pause):
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// followConfig keeps the configuration.
+func (f *Follower) followConfig(ctx context.Context) {
+	p := position{
+		name: "configuration",
+	}
+	for ctx.Err() == nil {
+		var change ConfigChange
+		var err error
+		if p.known {
+			change, err = f.config.Source.FollowConfig(ctx, p.at, feedWait)
+		} else {
+			change, err = f.config.Source.ReadConfig(ctx)
+		}
+		if !f.after(ctx, &p, err) {
+			continue
+		}
+		p.at, p.known = max(p.at, change.Position), true
+		f.apply(change.Config)
+	}
+}
+
+func (f *Follower) apply(c *routes.Config) {
+	if c != nil && f.config.Routes.Apply(c) {
+		f.config.Logger.Info("configuration in force", "version", c.Version, "routes", len(c.Routes),
+			"organisations", len(c.Organisations))
+	}
+}
+
+// followReplicas keeps the replicas.
+func (f *Follower) followReplicas(ctx context.Context) {
+	p := position{
+		name: "replicas",
+	}
+	for ctx.Err() == nil {
+		var changes ReplicaChanges
+		var err error
+		whole := !p.known
+		if whole {
+			changes, err = f.config.Source.ReadReplicas(ctx)
+		} else {
+			changes, err = f.config.Source.FollowReplicas(ctx, p.at, f.wait())
+		}
+		if f.after(ctx, &p, err) {
+			p.at, p.known = max(p.at, changes.Position), true
+			f.take(changes, whole)
+			f.ready.Store(true)
+		}
+		f.settle(time.Now())
+	}
+}
+
+// wait is how long the feed may wait: until the next lapsed entry counts as gone.
+func (f *Follower) wait() time.Duration {
+	wait := feedWait
+	for _, at := range f.lapsed {
+		wait = min(wait, max(time.Until(at), minPause))
+	}
+	return wait
+}
+
+// take takes changes in; a whole list also tells what is no longer there.
+func (f *Follower) take(changes ReplicaChanges, whole bool) {
+	listed := map[string]bool{}
+	for _, change := range changes.Changes {
+		listed[change.ID] = true
+		if change.Version <= f.seen[change.ID] {
+			continue
+		}
+		f.seen[change.ID] = change.Version
+		if change.Replica == nil {
+			f.vanished(change.ID)
+			continue
+		}
+		f.appeared(change.Replica)
+	}
+	if !whole {
+		return
+	}
+	for _, u := range f.config.Upstreams.All() {
+		id := u.Instance.ID
+		// A list from before an entry's last change says nothing of it.
+		if !listed[id] && f.seen[id] <= changes.Position {
+			f.vanished(id)
+		}
+	}
+}
+
+// appeared takes in an entry that names a replica.
+func (f *Follower) appeared(r *Replica) {
+	delete(f.lapsed, r.ID)
+	known := f.config.Upstreams.Get(r.ID)
+	same := known != nil && known.Instance.Started.Equal(r.Started) && known.Instance.Address == r.Address
+	if !same {
+		f.add(r)
+	}
+	if r.Draining {
+		f.leave(r.ID, r.LeavesIn)
+		return
+	}
+	if _, wasGone := f.gone[r.ID]; same && wasGone {
+		f.config.Logger.Info("replica back", "replica", r.ID)
+		f.config.Upstreams.Readmit(r.ID)
+	}
+	delete(f.gone, r.ID)
+}
+
+// add enters a new start of a replica. A later start under the same ID takes
+// the place of the one before.
+func (f *Follower) add(r *Replica) {
+	if f.config.Upstreams.Get(r.ID) != nil {
+		f.config.Upstreams.Remove(r.ID)
+	}
+	f.config.Upstreams.Readmit(r.ID)
+	market := zinniamast.OnDemand
+	if r.Reclaimable {
+		market = zinniamast.Reclaimable
+	}
+	f.config.Upstreams.Add(&blackboard.Upstream{
+		Instance: zinniamast.Instance{
+			ID:            r.ID,
+			FailureDomain: r.FailureDomain,
+			Market:        market,
+			Service:       r.Service,
+			Address:       r.Address,
+			Started:       r.Started,
+		},
+		Replica: f.config.Build(r.ID, r.Address),
+		Slots:   r.Slots,
+	})
+	f.config.Logger.Info("replica seen", "replica", r.ID, "service", r.Service,
+		"failure_domain", r.FailureDomain, "draining", r.Draining)
+}
+
+// leave marks a replica that takes no new work.
+func (f *Follower) leave(id string, in time.Duration) {
+	var at time.Time
+	if in > 0 {
+		at = time.Now().Add(in)
+	}
+	if f.config.Upstreams.MarkLeaving(id, at) {
+		f.config.Logger.Info("replica leaving", "replica", id, "leaves_in", in)
+	}
+}
+
+// vanished takes in that an entry is no longer there. Around an outage of the
+// store a live replica's entry may have lapsed: it then has some time to come
+// back before its replica counts as gone, or a whole service would seem to be
+// gone at once.
+func (f *Follower) vanished(id string) {
+	if f.config.Upstreams.Get(id) == nil {
+		return
+	}
+	if _, ok := f.gone[id]; ok {
+		return
+	}
+	if time.Since(time.Unix(0, f.failed.Load())) < troubleMemory {
+		if _, ok := f.lapsed[id]; !ok {
+			f.lapsed[id] = time.Now().Add(lapseGrace)
+		}
+		return
+	}
+	f.lose(id, time.Now())
+}
+
+// lose counts a replica as gone.
+func (f *Follower) lose(id string, now time.Time) {
+	delete(f.lapsed, id)
+	f.gone[id] = now
+	f.config.Upstreams.MarkLeaving(id, time.Time{})
+	f.config.Logger.Info("replica gone", "replica", id)
+}
+
+// settle counts lapsed entries as gone and forgets replicas that are long gone.
+func (f *Follower) settle(now time.Time) {
+	for id, at := range f.lapsed {
+		if !now.Before(at) {
+			f.lose(id, now)
+		}
+	}
+	for id, at := range f.gone {
+		if now.Sub(at) < goneMemory {
+			continue
+		}
+		delete(f.gone, id)
+		if u := f.config.Upstreams.Get(id); u != nil {
+			u.Replica.Close()
+			f.config.Upstreams.Remove(id)
+		}
+	}
+}
