--- /dev/null
+++ b/demand/demand.go
@@ -0,0 +1,336 @@
+// Package demand tells the nodes what each of them is asked: tokens by
+// organisation, and running requests by service. Allowances are divided and
+// replicas are ordered by it.
+package demand
+
+import (
+	"context"
+	"encoding/binary"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"zinniamast"
+)
+
+const (
+	// interval is how often a node tells; minItemsASecond of a large fleet's
+	// nodes are heard in a second.
+	interval = 500 * time.Millisecond
+	// heardASecond bounds the nodes heard in a second at any size of the fleet.
+	heardASecond = 40
+	// expires is how long what a node told counts.
+	expires = 4 * time.Second
+	// memory is how long an arrival counts in a rate.
+	memory  = 3 * time.Second
+	newsKey = "node"
+)
+
+// Load is what is asked of a service.
+type Load struct {
+	// Running is how many requests run, on average lately.
+	Running float64
+	// Arrivals are requests per second.
+	Arrivals float64
+	// Prompt is prompt tokens per second.
+	Prompt float64
+	// Late is the part of the answers that began after their target.
+	Late float64
+}
+
+// Config says who tells whom.
+type Config struct {
+	// Node is this instance's name.
+	Node string
+	// Gossip carries the news.
+	Gossip zinniamast.Gossip
+	// Nodes returns how many nodes there are.
+	Nodes func() int
+}
+
+// Demand is what this node and the others are asked. The lock is held for
+// microseconds, never during a call to another package but Gossip.
+type Demand struct {
+	config Config
+
+	mu            sync.Mutex
+	organisations map[uint32]*rate
+	services      map[uint32]*counters
+	others        map[string]told
+}
+
+// told is what another node said last.
+type told struct {
+	organisations map[uint32]float64
+	services      map[uint32]Load
+	until         time.Time
+}
+
+// rate is an exponentially weighted sum per second.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+func (r *rate) add(amount float64, now time.Time) {
+	r.age(now)
+	r.value += amount / memory.Seconds()
+}
+
+func (r *rate) age(now time.Time) float64 {
+	r.value *= math.Exp(-now.Sub(r.at).Seconds() / memory.Seconds())
+	r.at = now
+	return r.value
+}
+
+// counters are a service's rates at this node.
+type counters struct {
+	running  int
+	average  float64
+	at       time.Time
+	arrivals rate
+	prompt   rate
+	answers  rate
+	late     rate
+}
+
+// run ages the average of running requests and changes the count.
+func (c *counters) run(by int, now time.Time) {
+	keep := math.Exp(-now.Sub(c.at).Seconds() / memory.Seconds())
+	c.average = keep*c.average + (1-keep)*float64(c.running)
+	c.at = now
+	c.running += by
+}
+
+// New returns a table that has counted nothing.
+func New(config Config) *Demand {
+	d := &Demand{
+		config:        config,
+		organisations: map[uint32]*rate{},
+		services:      map[uint32]*counters{},
+		others:        map[string]told{},
+	}
+	config.Gossip.Subscribe(zinniamast.TopicDemand, d.hear)
+	return d
+}
+
+func short(name string) uint32 { return uint32(xxh3.HashString(name)) }
+
+// Asked counts what an organisation asks, let in or not.
+func (d *Demand) Asked(organisation string, amount float64) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := short(organisation)
+	r, ok := d.organisations[key]
+	if !ok {
+		r = &rate{
+			at: now,
+		}
+		d.organisations[key] = r
+	}
+	r.add(amount, now)
+}
+
+func (d *Demand) service(name string, now time.Time) *counters {
+	key := short(name)
+	c, ok := d.services[key]
+	if !ok {
+		c = &counters{
+			at: now,
+		}
+		d.services[key] = c
+	}
+	return c
+}
+
+// Entered counts a request that goes to a service.
+func (d *Demand) Entered(service string, prompt int) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.service(service, now)
+	c.run(1, now)
+	c.arrivals.add(1, now)
+	c.prompt.add(float64(prompt), now)
+}
+
+// Answered counts an answer that began.
+func (d *Demand) Answered(service string, late bool) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.service(service, now)
+	c.answers.add(1, now)
+	if late {
+		c.late.add(1, now)
+	}
+}
+
+// Left counts a request that has ended.
+func (d *Demand) Left(service string) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.service(service, now).run(-1, now)
+}
+
+// load is this node's own; the caller holds the lock.
+func (c *counters) load(now time.Time) Load {
+	c.run(0, now)
+	l := Load{
+		Running:  c.average,
+		Arrivals: c.arrivals.age(now),
+		Prompt:   c.prompt.age(now),
+	}
+	if answers := c.answers.age(now); answers > 0 {
+		l.Late = c.late.age(now) / answers
+	}
+	return l
+}
+
+// Of returns what all nodes together are asked of a service. Late is weighted
+// by arrivals.
+func (d *Demand) Of(service string) Load {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sum := d.service(service, now).load(now)
+	late := sum.Late * sum.Arrivals
+	key := short(service)
+	for _, other := range d.others {
+		if now.After(other.until) {
+			continue
+		}
+		l := other.services[key]
+		sum.Running += l.Running
+		sum.Arrivals += l.Arrivals
+		sum.Prompt += l.Prompt
+		late += l.Late * l.Arrivals
+	}
+	if sum.Arrivals > 0 {
+		sum.Late = late / sum.Arrivals
+	}
+	return sum
+}
+
+// Part returns this node's part of what all nodes are asked by an organisation,
+// and how many nodes, this one included, were heard lately.
+func (d *Demand) Part(organisation string) (part float64, heard int) {
+	now := time.Now()
+	key := short(organisation)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	own := 0.0
+	if r, ok := d.organisations[key]; ok {
+		own = r.age(now)
+	}
+	sum := own
+	heard = 1
+	for _, other := range d.others {
+		if now.After(other.until) {
+			continue
+		}
+		heard++
+		sum += other.organisations[key]
+	}
+	if sum <= 0 {
+		return 0, heard
+	}
+	return own / sum, heard
+}
+
+// Run tells the other nodes until ctx ends.
+func (d *Demand) Run(ctx context.Context) {
+	for {
+		nodes := time.Duration(d.config.Nodes())
+		wait := max(interval, nodes*time.Second/heardASecond)
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+		d.config.Gossip.Publish(zinniamast.News{
+			Topic:   zinniamast.TopicDemand,
+			Key:     newsKey,
+			Value:   d.encode(time.Now()),
+			Expires: time.Now().Add(expires + wait),
+			Wide:    true,
+		})
+	}
+}
+
+// Sizes of the news' items, in bytes: a hash and its figures.
+const (
+	organisationBytes = 8
+	serviceBytes      = 20
+	forgottenRate     = 0.01
+)
+
+// encode writes the number of organisations, these, and the services.
+func (d *Demand) encode(now time.Time) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	value := []byte{0}
+	for key, r := range d.organisations {
+		if r.age(now) < forgottenRate || value[0] == math.MaxUint8 {
+			continue
+		}
+		value[0]++
+		value = binary.BigEndian.AppendUint32(value, key)
+		value = appendFloat(value, r.value)
+	}
+	for key, c := range d.services {
+		if len(value)+serviceBytes > zinniamast.MaxNews {
+			break
+		}
+		l := c.load(now)
+		value = binary.BigEndian.AppendUint32(value, key)
+		for _, figure := range []float64{l.Running, l.Arrivals, l.Prompt, l.Late} {
+			value = appendFloat(value, figure)
+		}
+	}
+	return value
+}
+
+func appendFloat(to []byte, figure float64) []byte {
+	return binary.BigEndian.AppendUint32(to, math.Float32bits(float32(figure)))
+}
+
+func floatAt(data []byte, at int) float64 {
+	return float64(math.Float32frombits(binary.BigEndian.Uint32(data[at:])))
+}
+
+// hear takes in what another node said; what cannot be read counts as nothing said.
+func (d *Demand) hear(news zinniamast.News) {
+	if news.Origin == d.config.Node || len(news.Value) == 0 {
+		return
+	}
+	said := told{
+		organisations: map[uint32]float64{},
+		services:      map[uint32]Load{},
+		// Counted from now, by this node's own clock.
+		until: time.Now().Add(expires + time.Duration(d.config.Nodes())*time.Second/heardASecond),
+	}
+	data := news.Value[1:]
+	for range int(news.Value[0]) {
+		if len(data) < organisationBytes {
+			return
+		}
+		said.organisations[binary.BigEndian.Uint32(data)] = floatAt(data, 4)
+		data = data[organisationBytes:]
+	}
+	for ; len(data) >= serviceBytes; data = data[serviceBytes:] {
+		said.services[binary.BigEndian.Uint32(data)] = Load{
+			Running:  floatAt(data, 4),
+			Arrivals: floatAt(data, 8),
+			Prompt:   floatAt(data, 12),
+			Late:     floatAt(data, 16),
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.others[news.Origin] = said
+}
--- /dev/null
+++ b/entry/assemble.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"zinniamast"
+	"zinniamast/demand"
+	"zinniamast/forward"
+	"zinniamast/lease"
+	"zinniamast/limits"
+	"zinniamast/nearest"
+	"zinniamast/plain"
+	"zinniamast/platform"
+	"zinniamast/quarantine"
+	"zinniamast/registry"
+	"zinniamast/retry"
+	"zinniamast/roster"
+	"zinniamast/scaling"
+	"zinniamast/usage"
+)
+
+// dutyLease is the one lease under which a node does all of the platform's duties.
+const dutyLease = "duties"
+
+// minDutyTerm is the shortest term of the duties' lease: renewed each third of
+// it, it costs the store a write every other second.
+const minDutyTerm = 5 * time.Second
+
+// assemble wires the controllers.
+func (e *Entry) assemble() error {
+	e.followStore()
+	if err := e.openPeers(); err != nil {
+		return err
+	}
+	e.demand = demand.New(demand.Config{
+		Node:   e.config.Settings.Instance,
+		Gossip: e.members,
+		Nodes:  e.nodes,
+	})
+	e.takeDuties()
+	e.serveCallers()
+	return nil
+}
+
+// followStore builds what knows the configuration and the replicas.
+func (e *Entry) followStore() {
+	s := e.config.Settings
+	store := platform.NewStore(s.StoreAddress)
+	store.OnClock(e.clock.Heard)
+	e.table = platform.NewTable(store)
+	e.follower = registry.NewFollower(registry.FollowerConfig{
+		Source:    store,
+		Routes:    e.routes,
+		Upstreams: e.upstreams,
+		Build:     newReplica,
+		Logger:    e.config.Logger,
+	})
+	e.roster = roster.New(roster.Config{
+		Table:         e.table,
+		ID:            s.Instance,
+		FailureDomain: s.FailureDomain,
+		Address:       s.Peer,
+		Offset:        e.clock.Own,
+		OnOffsets:     e.clock.Agree,
+		Logger:        e.config.Logger,
+	})
+}
+
+// newReplica returns the client of a replica.
+func newReplica(id, address string) zinniamast.Replica {
+	return plain.New(plain.Config{
+		Upstream:    id,
+		Address:     "http://" + address,
+		DialTimeout: replicaDialTimeout,
+		IdleTimeout: replicaIdleTimeout,
+	})
+}
+
+// takeDuties builds what acts for the fleet while this node holds the lease,
+// and what each node counts for it.
+func (e *Entry) takeDuties() {
+	s := e.config.Settings
+	e.usage = usage.NewCounter(usage.CounterConfig{
+		Table:  e.table,
+		Clock:  e.clock,
+		Node:   s.Instance,
+		Window: s.Bounds.UsageWindow,
+		Nodes:  e.nodes,
+		Logger: e.config.Logger,
+	})
+	e.lease = lease.New(lease.Config{
+		Table:  e.table,
+		Name:   dutyLease,
+		Holder: s.Instance,
+		Term:   max(minDutyTerm, s.Bounds.LeaseTerm),
+		Logger: e.config.Logger,
+	})
+	duties := platform.NewCloud(s.CloudAddress, s.Instance)
+	e.reporter = usage.NewReporter(usage.ReporterConfig{
+		Table:  e.table,
+		Clock:  e.clock,
+		Lease:  e.lease,
+		Duties: duties,
+		Window: s.Bounds.UsageWindow,
+		Due:    s.Bounds.UsageDue,
+		Logger: e.config.Logger,
+	})
+	e.scaling = scaling.New(scaling.Config{
+		Routes:         e.routes,
+		Upstreams:      e.upstreams,
+		Demand:         e.demand,
+		Lease:          e.lease,
+		Duties:         duties,
+		FailureDomains: s.FailureDomains,
+		Logger:         e.config.Logger,
+	})
+}
+
+// serveCallers builds the listeners' handlers.
+func (e *Entry) serveCallers() {
+	s := e.config.Settings
+	handler := forward.New(forward.Config{
+		Routes:    e.routes,
+		Upstreams: e.upstreams,
+		Router: nearest.New(nearest.Config{
+			Upstreams:     e.upstreams,
+			FailureDomain: s.FailureDomain,
+		}),
+		Protocol: platform.Headers{},
+		Budget: retry.NewWindow(retry.WindowConfig{
+			Ratio:  s.Bounds.RetryRatio,
+			Slack:  s.Bounds.RetrySlack,
+			Window: s.Bounds.RetryWindow,
+			Nodes:  e.nodes,
+		}),
+		Allowance: limits.NewAllowance(limits.AllowanceConfig{
+			Part:    e.part,
+			Window:  s.Bounds.QuotaWindow,
+			Overage: s.Bounds.QuotaOverage,
+			Slack:   s.Bounds.QuotaSlack,
+		}),
+		Quarantine: quarantine.New(quarantine.Config{
+			Gossip:     e.members,
+			Logger:     e.config.Logger,
+			Registerer: e.registry,
+		}),
+		Meter:      e.usage,
+		Demand:     e.demand,
+		Closing:    e.closing.Load,
+		Stopping:   e.stopping.Load,
+		Logger:     e.config.Logger,
+		Registerer: e.registry,
+	})
+	e.callers = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(e.config.Logger.Handler(), slog.LevelDebug),
+	}
+	e.ready = &http.Server{
+		Handler:           e.readiness(),
+		ReadHeaderTimeout: headerTimeout,
+	}
+}
+
+// nodes is how many entry instances there are, cut off ones included.
+func (e *Entry) nodes() int { return max(1, e.roster.Count()) }
+
+// fixedPart is the part of an allowance that is divided evenly: a node whose
+// callers have only just come gets something before the others have heard of them.
+const fixedPart = 0.25
+
+// part is this node's part of an organisation's allowance. It follows what the
+// nodes are asked only while this node hears all of them.
+//
+// Failure: nodes that are cut off from each other each see themselves asked
+// for everything, and together give out the allowance several times. A node
+// that misses any other falls back to the even part; the parts of both kinds
+// add up to at most the whole.
+func (e *Entry) part(organisation string) float64 {
+	even := 1 / float64(e.nodes())
+	asked, heard := e.demand.Part(organisation)
+	if heard < e.nodes() || asked == 0 {
+		return even
+	}
+	return fixedPart*even + (1-fixedPart)*asked
+}
+
+// controllers are what runs beside the request path.
+func (e *Entry) controllers() []func(context.Context) {
+	return []func(context.Context){
+		e.follower.Run,
+		e.enterRoster,
+		e.members.Run,
+		e.demand.Run,
+		e.usage.Run,
+		e.lease.Run,
+		e.reporter.Run,
+		e.scaling.Run,
+		e.reload,
+	}
+}
+
+// rosterInterval is how often the roster is read, and rosterFirst in the first
+// seconds, when all nodes start at once.
+const (
+	rosterInterval = 10 * time.Second
+	rosterFirst    = time.Second
+	rosterFast     = 5
+)
+
+// enterRoster announces this node and goes on counting the others.
+func (e *Entry) enterRoster(ctx context.Context) {
+	e.roster.Announce(ctx)
+	for round := 0; ctx.Err() == nil; round++ {
+		if _, err := e.roster.List(ctx); err != nil {
+			e.config.Logger.Debug("roster not read", "cause", err)
+		}
+		wait := rosterInterval
+		if round < rosterFast {
+			wait = rosterFirst
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// errPeers wraps what went wrong between nodes.
+func errPeers(err error) error { return fmt.Errorf("peers: %w", err) }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,15 +18,17 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
-	"zinniamast/forward"
-	"zinniamast/limits"
-	"zinniamast/nearest"
-	"zinniamast/plain"
+	"zinniamast/clock"
+	"zinniamast/demand"
+	"zinniamast/lease"
+	"zinniamast/membership"
+	"zinniamast/peer"
 	"zinniamast/platform"
-	"zinniamast/quarantine"
 	"zinniamast/registry"
-	"zinniamast/retry"
+	"zinniamast/roster"
 	"zinniamast/routes"
+	"zinniamast/scaling"
+	"zinniamast/usage"
 )
 
 // Config says what an entry instance is made of.
@@ -59,12 +61,25 @@
 	config    Config
 	routes    *routes.Table
 	upstreams *blackboard.Upstreams
+	table     zinniamast.Table
+	clock     *clock.Clock
 	follower  *registry.Follower
+	roster    *roster.Roster
+	peers     *peer.Server
+	pool      *peer.Pool
+	members   *membership.Membership
+	demand    *demand.Demand
+	usage     *usage.Counter
+	lease     *lease.Lease
+	reporter  *usage.Reporter
+	scaling   *scaling.Controller
 	registry  *prometheus.Registry
 	callers   *http.Server
 	ready     *http.Server
 	listeners []net.Listener
 	stopping  atomic.Bool
+	// closing says that the node accepts nothing more.
+	closing atomic.Bool
 }
 
 // New builds an entry instance and opens its listeners.
@@ -73,6 +88,7 @@
 		config:    config,
 		routes:    &routes.Table{},
 		upstreams: blackboard.NewUpstreams(),
+		clock:     &clock.Clock{},
 		registry:  prometheus.NewRegistry(),
 	}
 	for _, address := range []string{config.Settings.Frontend, config.Settings.Ready} {
@@ -82,71 +98,10 @@
 		}
 		e.listeners = append(e.listeners, listener)
 	}
-	e.assemble()
-	return e, nil
-}
-
-// assemble wires the controllers.
-func (e *Entry) assemble() {
-	s := e.config.Settings
-	e.follower = registry.NewFollower(registry.FollowerConfig{
-		Source:    platform.NewStore(s.StoreAddress),
-		Routes:    e.routes,
-		Upstreams: e.upstreams,
-		Build:     newReplica,
-		Logger:    e.config.Logger,
-	})
-	handler := forward.New(forward.Config{
-		Routes:    e.routes,
-		Upstreams: e.upstreams,
-		Router: nearest.New(nearest.Config{
-			Upstreams:     e.upstreams,
-			FailureDomain: s.FailureDomain,
-		}),
-		Protocol: platform.Headers{},
-		Budget: retry.NewWindow(retry.WindowConfig{
-			Ratio:  s.Bounds.RetryRatio,
-			Slack:  s.Bounds.RetrySlack,
-			Window: s.Bounds.RetryWindow,
-			Nodes:  func() int { return 12 },
-		}),
-		Allowance: limits.NewAllowance(limits.AllowanceConfig{
-			Part: func() float64 { return 1.0 / 9 },
-		}),
-		Quarantine: quarantine.New(quarantine.Config{
-			Logger:     e.config.Logger,
-			Registerer: e.registry,
-		}),
-		Meter:      nobody{},
-		Stopping:   e.stopping.Load,
-		Logger:     e.config.Logger,
-		Registerer: e.registry,
-	})
-	e.callers = &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(e.config.Logger.Handler(), slog.LevelDebug),
-	}
-	e.ready = &http.Server{
-		Handler:           e.readiness(),
-		ReadHeaderTimeout: headerTimeout,
+	if err := e.assemble(); err != nil {
+		return nil, err
 	}
-}
-
-type nobody struct{}
-
-func (nobody) Began(string, time.Time) {}
-
-// newReplica returns the client of a replica.
-func newReplica(id, address string) zinniamast.Replica {
-	return plain.New(plain.Config{
-		Upstream:    id,
-		Address:     "http://" + address,
-		DialTimeout: replicaDialTimeout,
-		IdleTimeout: replicaIdleTimeout,
-	})
+	return e, nil
 }
 
 // readiness answers the balancer.
@@ -168,9 +123,11 @@
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	var controllers sync.WaitGroup
-	controllers.Go(func() { e.follower.Run(life) })
-	controllers.Go(func() { e.reload(life) })
-	failed := make(chan error, 2)
+	for _, run := range e.controllers() {
+		controllers.Go(func() { run(life) })
+	}
+	failed := make(chan error, 3)
+	go func() { failed <- e.peers.Serve() }()
 	go func() { failed <- e.callers.Serve(e.listeners[0]) }()
 	go func() { failed <- e.ready.Serve(e.listeners[1]) }()
 	e.config.Logger.Info("started", "instance", e.config.Settings.Instance,
@@ -205,24 +162,29 @@
 
 // stop finishes what runs. The balancer is told first and connections are
 // closed with their next answer, so that nobody's request meets a closed one.
+//
+// Failure: a request that comes on a kept connection long after the stop began
+// is cut when the time is up, in the middle of its answer. After the linger a
+// new request is therefore refused at once, and idle connections are closed.
 func (e *Entry) stop() {
 	began := time.Now()
 	e.stopping.Store(true)
 	e.config.Logger.Info("stopping", "instance", e.config.Settings.Instance)
 	ctx, cancel := context.WithTimeout(context.Background(), e.config.Settings.StopTimeout-stopMargin)
 	defer cancel()
-	// New connections come until the balancer has asked twice.
 	select {
 	case <-time.After(stopLinger):
 	case <-ctx.Done():
 	}
+	e.closing.Store(true)
 	if err := e.callers.Shutdown(ctx); err != nil {
 		e.config.Logger.Warn("stopped with requests running", "cause", err)
 	}
+	e.members.Depart(ctx)
 	e.config.Logger.Info("stopped", "instance", e.config.Settings.Instance, "took", time.Since(began))
 }
 
 // stopLinger is how long a stopping node goes on accepting: the balancer asks
-// each second and takes a node out after two answers, and an idle caller's
-// next request should still find its connection open.
-const stopLinger = 3500 * time.Millisecond
+// each second and takes a node out after two answers, and a request that is
+// accepted must end within the rest of the time to stop.
+const stopLinger = 2500 * time.Millisecond
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"time"
+
+	"zinniamast/blackboard"
+	"zinniamast/membership"
+	"zinniamast/peer"
+	"zinniamast/routes"
+)
+
+// openPeers opens the listener for other nodes and takes part in membership.
+func (e *Entry) openPeers() error {
+	s := e.config.Settings
+	keys := []string{deploymentKey(s.StoreAddress, s.CloudAddress)}
+	var err error
+	e.peers, err = peer.NewServer(peer.ServerConfig{
+		Listen:     s.Peer,
+		PeerKeys:   keys,
+		Logger:     e.config.Logger,
+		Registerer: e.registry,
+	})
+	if err != nil {
+		return errPeers(err)
+	}
+	e.pool, err = peer.NewPool(peer.PoolConfig{
+		Keys: keys,
+	})
+	if err != nil {
+		return errPeers(err)
+	}
+	e.members = membership.New(membership.Config{
+		ID:            s.Instance,
+		FailureDomain: s.FailureDomain,
+		Address:       s.Peer,
+		Weight:        1,
+		Seeds:         s.Seeds,
+		List:          e.roster,
+		Members:       blackboard.NewMembers(),
+		Transport: membership.RPC{
+			Pool: e.pool,
+		},
+		Logger:        e.config.Logger,
+		ConfigVersion: e.configVersion,
+		OnNewerConfig: e.newerConfig,
+	})
+	return errors.Join(
+		e.peers.RegisterPeer(membership.ServiceName, e.members.Receiver()),
+		e.peers.RegisterPeer(relayName, &Relay{routes: e.routes}),
+	)
+}
+
+// deploymentKey is what nodes of one deployment prove to each other. It keeps
+// deployments apart, not strangers out: the platform's network lets only
+// machines of the fleet reach the peer listener, and gives nodes no common
+// secret. It needs no store, so that a node that starts during the store's
+// outage can join.
+func deploymentKey(store, cloud string) string {
+	sum := sha256.Sum256([]byte("zinniamast " + store + " " + cloud))
+	return hex.EncodeToString(sum[:])
+}
+
+func (e *Entry) configVersion() uint64 {
+	if current := e.routes.Current(); current != nil {
+		return uint64(current.Version)
+	}
+	return 0
+}
+
+// relayName is the name under which nodes give each other the configuration.
+const relayName = "Configuration"
+
+// relayTimeout bounds fetching the configuration from a peer.
+const relayTimeout = 2 * time.Second
+
+// Relay gives peers the configuration in force here: the store may turn single
+// nodes away while it serves the others.
+type Relay struct {
+	routes *routes.Table
+}
+
+// Current answers with the configuration in force; version 0 where there is none.
+func (r *Relay) Current(_ struct{}, reply *routes.Config) error {
+	if current := r.routes.Current(); current != nil {
+		*reply = *current
+	}
+	return nil
+}
+
+// newerConfig fetches the configuration of a peer that has a newer one.
+func (e *Entry) newerConfig(address string, version uint64) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
+		defer cancel()
+		var config routes.Config
+		if err := e.pool.Call(ctx, address, relayName+".Current", struct{}{}, &config); err != nil {
+			e.config.Logger.Debug("configuration not fetched", "peer", address, "cause", err)
+			return
+		}
+		if config.Version > 0 && e.routes.Apply(&config) {
+			e.config.Logger.Info("configuration in force", "version", config.Version, "peer", address, "announced", version)
+		}
+	}()
+}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -223,9 +223,11 @@
 		return
 	}
 	c.began = true
-	h.metrics.first.Observe(time.Since(c.arrived).Seconds())
+	waited := time.Since(c.arrived)
+	h.metrics.first.Observe(waited.Seconds())
+	h.config.Demand.Answered(c.service, c.route.Target > 0 && waited > c.route.Target)
 	if c.organisation != nil {
-		h.config.Meter.Began(c.organisation.Name, time.Now())
+		h.config.Meter.Began(c.organisation.Name)
 	}
 }
 
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -35,7 +35,18 @@
 
 // Meter counts requests that began to run, for the usage reports.
 type Meter interface {
-	Began(organisation string, at time.Time)
+	Began(organisation string)
+}
+
+// Demand hears what this node is asked.
+type Demand interface {
+	// Asked counts what an organisation asks, let in or not.
+	Asked(organisation string, amount float64)
+	// Entered counts a request that goes to a service, and Left one that ended.
+	Entered(service string, promptTokens int)
+	Left(service string)
+	// Answered counts an answer that began.
+	Answered(service string, late bool)
 }
 
 // Config says what a handler works with.
@@ -48,6 +59,9 @@
 	Allowance  Allowance
 	Quarantine zinniamast.Quarantine
 	Meter      Meter
+	Demand     Demand
+	// Closing says that the node stops and accepts nothing more.
+	Closing func() bool
 	// Stopping says that the node is about to stop: connections are closed with their next answer.
 	Stopping func() bool
 	Logger   *slog.Logger
@@ -75,6 +89,9 @@
 // startingRetryAfter is when a node that knows no configuration yet probably does.
 const startingRetryAfter = 500 * time.Millisecond
 
+// stoppingRetryAfter is when a caller may ask again; it will meet another node.
+const stoppingRetryAfter = 50 * time.Millisecond
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -82,6 +99,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, refusal := h.admit(r, arrived)
+	if refusal == nil && h.config.Closing() {
+		refusal = zinniamast.Refuse(zinniamast.ReasonStopping, "this node stops").After(stoppingRetryAfter)
+	}
 	if refusal == nil {
 		refusal = h.readBody(w, r, c)
 	}
@@ -293,6 +313,7 @@
 			amount = float64(c.ask.PromptTokens + c.ask.MaxTokens)
 		}
 	}
+	h.config.Demand.Asked(c.organisation.Name, amount)
 	wait, ok := h.config.Allowance.Take(c.organisation, amount)
 	if ok {
 		return nil
--- a/forward/run.go
+++ b/forward/run.go
@@ -31,6 +31,8 @@
 // run sends a request to replicas until one has answered.
 func (h *Handler) run(ctx context.Context, w http.ResponseWriter, c *call) {
 	h.config.Budget.Started(c.service)
+	h.config.Demand.Entered(c.service, c.ask.PromptTokens)
+	defer h.config.Demand.Left(c.service)
 	a := &answer{
 		writer: w,
 	}
--- a/limits/allowance.go
+++ b/limits/allowance.go
@@ -9,8 +9,13 @@
 
 // AllowanceConfig says how a node divides organisations' allowances.
 type AllowanceConfig struct {
-	// Part returns the part of the fleet's allowance that this node may give out.
-	Part func() float64
+	// Part returns the part of an organisation's allowance that this node may give out.
+	Part func(organisation string) float64
+	// Window, Overage and Slack are what the fleet may give out beyond the
+	// allowance: in any Window the part Overage of it, and Slack tokens more.
+	Window  time.Duration
+	Overage float64
+	Slack   float64
 	// Now tells the time; nil is time.Now.
 	Now func() time.Time
 }
@@ -46,10 +51,28 @@
 // larger than the node's whole burst would otherwise never fit.
 const maxAllowanceWait = 10 * time.Second
 
+// usedTolerance is the part of the tolerated excess that is given out; the rest
+// is for nodes that have just come or not yet heard of a change.
+const usedTolerance = 0.7
+
+// burst is what may be given out at once: the organisation's burst and the
+// tolerated excess of one window.
+//
+// Load: one organisation's requests are of very different sizes, and each
+// node's part of the burst is smaller than the largest. Refusing those while
+// the fleet as a whole is within the allowance would starve the large ones.
+func (a *Allowance) burst(o *routes.Organisation) float64 {
+	tolerated := a.config.Overage * (o.Rate*a.config.Window.Seconds() + o.Burst)
+	if o.ByTokens {
+		tolerated += a.config.Slack
+	}
+	return o.Burst + usedTolerance*tolerated
+}
+
 // Take takes an amount, or returns when it will be there.
 func (a *Allowance) Take(o *routes.Organisation, amount float64) (time.Duration, bool) {
-	part := a.config.Part()
-	rate, burst := o.Rate*part, o.Burst*part
+	part := a.config.Part(o.Name)
+	rate, burst := o.Rate*part, a.burst(o)*part
 	now := a.config.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,166 @@
+// Package roster lists the entry instances in the platform's table, so that a
+// node finds others, and counts them.
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"zinniamast"
+)
+
+// Partition is where the instances stand in the table.
+const Partition = "entry"
+
+const (
+	// listLimit is how many instances one read takes; the store returns 500 at most.
+	listLimit = 500
+	// callTimeout bounds one call.
+	callTimeout = 2 * time.Second
+	// againAfter is the pause after a failed announcement.
+	againAfter = 500 * time.Millisecond
+)
+
+// Config says who announces itself and where.
+type Config struct {
+	Table zinniamast.Table
+	// ID, FailureDomain and Address describe this instance; Address is
+	// host:port of its peer listener.
+	ID            string
+	FailureDomain string
+	Address       string
+	// Offset returns how far this instance found its time of day ahead of the
+	// store's clock; false while it does not know.
+	Offset func() (time.Duration, bool)
+	// OnOffsets hears what all instances found, with each list.
+	OnOffsets func(offsets []time.Duration)
+	// Logger hears of failures; nil means slog's default.
+	Logger *slog.Logger
+}
+
+// Roster implements zinniamast.InstanceList.
+type Roster struct {
+	config Config
+	count  atomic.Int64
+
+	mu        sync.Mutex
+	announced bool
+}
+
+var _ zinniamast.InstanceList = (*Roster)(nil)
+
+// record is one instance in the table.
+type record struct {
+	FailureDomain string `json:"failure_domain"`
+	Address       string `json:"address"`
+	// OffsetMS is the time of day less the store's clock at the start.
+	OffsetMS int64 `json:"offset_ms"`
+}
+
+// New returns a roster on which this instance does not stand yet.
+func New(config Config) *Roster {
+	if config.Logger == nil {
+		config.Logger = slog.Default()
+	}
+	return &Roster{
+		config: config,
+	}
+}
+
+// Count returns how many instances the last list had; zero before the first.
+func (r *Roster) Count() int { return int(r.count.Load()) }
+
+// Announced says whether this instance stands on the roster.
+func (r *Roster) Announced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.announced
+}
+
+// Announce enters this instance, trying until it stands or ctx ends.
+func (r *Roster) Announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := r.announce(ctx)
+		if err == nil {
+			r.mu.Lock()
+			r.announced = true
+			r.mu.Unlock()
+			return
+		}
+		r.config.Logger.Debug("not announced yet", "cause", err)
+		select {
+		case <-time.After(againAfter):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *Roster) key() zinniamast.Key {
+	return zinniamast.Key{
+		Partition: Partition,
+		Sort:      r.config.ID,
+	}
+}
+
+func (r *Roster) announce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	known, err := r.config.Table.Get(ctx, r.key())
+	if err != nil && !errors.Is(err, zinniamast.ErrNotFound) {
+		return err
+	}
+	offset, ok := r.config.Offset()
+	if !ok {
+		return errors.New("roster: the store's clock is not known")
+	}
+	value, err := json.Marshal(record{
+		FailureDomain: r.config.FailureDomain,
+		Address:       r.config.Address,
+		OffsetMS:      offset.Milliseconds(),
+	})
+	if err != nil {
+		return fmt.Errorf("roster: %w", err)
+	}
+	return r.config.Table.Write(ctx, []zinniamast.Write{{
+		Item: zinniamast.Item{
+			Key:   r.key(),
+			Value: value,
+		},
+		Expect: known.Revision,
+	}})
+}
+
+// List implements zinniamast.InstanceList.
+func (r *Roster) List(ctx context.Context) ([]zinniamast.Instance, error) {
+	items, err := r.config.Table.Query(ctx, Partition, "", listLimit)
+	if err != nil {
+		return nil, fmt.Errorf("roster: %w", err)
+	}
+	instances := make([]zinniamast.Instance, 0, len(items))
+	offsets := make([]time.Duration, 0, len(items))
+	for _, item := range items {
+		var known record
+		if err := json.Unmarshal(item.Value, &known); err != nil {
+			r.config.Logger.Warn("unreadable instance", "instance", item.Key.Sort, "cause", err)
+			continue
+		}
+		instances = append(instances, zinniamast.Instance{
+			ID:            item.Key.Sort,
+			FailureDomain: known.FailureDomain,
+			Role:          "entry",
+			Address:       known.Address,
+		})
+		offsets = append(offsets, time.Duration(known.OffsetMS)*time.Millisecond)
+	}
+	r.count.Store(int64(len(instances)))
+	if r.config.OnOffsets != nil {
+		r.config.OnOffsets(offsets)
+	}
+	return instances, nil
+}
