Keep allowances and leaving replicas right across cuts

Cause: (1) each node gave itself the whole of an allowance at an organisation's first requests, and kept its part for four seconds after it was cut off; a process that started again began with a full burst. Parts now follow what a node has told, news counts 1.5 s, new processes fill from nothing. The grace now holds for the first answer after a loss alone.

--- a/demand/demand.go
+++ b/demand/demand.go
@@ -22,7 +22,7 @@
 	// heardASecond bounds the nodes heard in a second at any size of the fleet.
 	heardASecond = 40
 	// expires is how long what a node told counts.
-	expires = 4 * time.Second
+	expires = 1500 * time.Millisecond
 	// memory is how long an arrival counts in a rate.
 	memory  = 3 * time.Second
 	newsKey = "node"
@@ -56,7 +56,7 @@
 	config Config
 
 	mu            sync.Mutex
-	organisations map[uint32]*rate
+	organisations map[uint32]*asked
 	services      map[uint32]*counters
 	others        map[string]told
 }
@@ -68,6 +68,12 @@
 	until         time.Time
 }
 
+// asked is an organisation's rate, and what the other nodes were told of it.
+type asked struct {
+	rate
+	published float64
+}
+
 // rate is an exponentially weighted sum per second.
 type rate struct {
 	value float64
@@ -108,7 +114,7 @@
 func New(config Config) *Demand {
 	d := &Demand{
 		config:        config,
-		organisations: map[uint32]*rate{},
+		organisations: map[uint32]*asked{},
 		services:      map[uint32]*counters{},
 		others:        map[string]told{},
 	}
@@ -126,8 +132,10 @@
 	key := short(organisation)
 	r, ok := d.organisations[key]
 	if !ok {
-		r = &rate{
-			at: now,
+		r = &asked{
+			rate: rate{
+				at: now,
+			},
 		}
 		d.organisations[key] = r
 	}
@@ -218,6 +226,10 @@
 
 // Part returns this node's part of what all nodes are asked by an organisation,
 // and how many nodes, this one included, were heard lately.
+//
+// Failure: at the first requests of an organisation each node knows its own
+// and has heard of no other's; each would give itself the whole. The part is
+// therefore taken of what this node has told, which the others know as well.
 func (d *Demand) Part(organisation string) (part float64, heard int) {
 	now := time.Now()
 	key := short(organisation)
@@ -225,7 +237,7 @@
 	defer d.mu.Unlock()
 	own := 0.0
 	if r, ok := d.organisations[key]; ok {
-		own = r.age(now)
+		own = r.published
 	}
 	sum := own
 	heard = 1
@@ -275,9 +287,11 @@
 	defer d.mu.Unlock()
 	value := []byte{0}
 	for key, r := range d.organisations {
+		r.published = 0
 		if r.age(now) < forgottenRate || value[0] == math.MaxUint8 {
 			continue
 		}
+		r.published = r.value
 		value[0]++
 		value = binary.BigEndian.AppendUint32(value, key)
 		value = appendFloat(value, r.value)
--- a/limits/allowance.go
+++ b/limits/allowance.go
@@ -24,7 +24,8 @@
 // Parts add up to at most the whole, so that the bound holds over all nodes
 // while they do not hear each other.
 type Allowance struct {
-	config AllowanceConfig
+	config  AllowanceConfig
+	started time.Time
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
@@ -36,13 +37,14 @@
 	at   time.Time
 }
 
-// NewAllowance returns full allowances.
+// NewAllowance returns allowances that fill from now on.
 func NewAllowance(config AllowanceConfig) *Allowance {
 	if config.Now == nil {
 		config.Now = time.Now
 	}
 	return &Allowance{
 		config:  config,
+		started: config.Now(),
 		buckets: map[string]*bucket{},
 	}
 }
@@ -78,9 +80,10 @@
 	defer a.mu.Unlock()
 	b, ok := a.buckets[o.Name]
 	if !ok {
+		// A process that was restarted begins with nothing: the one before it may
+		// have given out its whole burst a moment ago.
 		b = &bucket{
-			left: burst,
-			at:   now,
+			at: a.started,
 		}
 		a.buckets[o.Name] = b
 	}
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -22,8 +22,6 @@
 	// lapseGrace is how long after the store's return an entry that lapsed while
 	// it was away may take to come back; the platform names two seconds.
 	lapseGrace = 2200 * time.Millisecond
-	// troubleMemory is how long after a failed call a vanished entry may be one that lapsed.
-	troubleMemory = 3 * time.Second
 	// goneMemory is how long a replica that is gone stays in the table for what still runs there.
 	goneMemory = 30 * time.Second
 )
@@ -42,12 +40,9 @@
 	Logger *slog.Logger
 }
 
-// Follower keeps the tables as the store has them. Its two loops share nothing
-// but the counter of failures.
+// Follower keeps the tables as the store has them. Its two loops share no state.
 type Follower struct {
 	config FollowerConfig
-	// failed is when a call to the store last failed, in nanoseconds since 1970.
-	failed atomic.Int64
 	// ready says that the replicas were read once.
 	ready atomic.Bool
 
@@ -95,14 +90,17 @@
 	at    uint64
 	known bool
 	pause time.Duration
-	name  string
+	// regained says that the last answer was the first after a loss of the store.
+	regained bool
+	name     string
 }
 
 // after judges a call's error: it says whether the answer may be used, and
 // pauses where it may not.
 func (f *Follower) after(ctx context.Context, p *position, err error) bool {
 	if err == nil {
-		if p.pause > 0 {
+		p.regained = p.pause > 0
+		if p.regained {
 			f.config.Logger.Info("store regained", "table", p.name)
 		}
 		p.pause = 0
@@ -116,7 +114,6 @@
 		p.known = false
 		return false
 	}
-	f.failed.Store(time.Now().UnixNano())
 	if p.pause == 0 {
 		f.config.Logger.Warn("store lost", "table", p.name, "cause", err)
 	}
@@ -172,7 +169,7 @@
 		}
 		if f.after(ctx, &p, err) {
 			p.at, p.known = max(p.at, changes.Position), true
-			f.take(changes, whole)
+			f.take(changes, whole, p.regained)
 			f.ready.Store(true)
 		}
 		f.settle(time.Now())
@@ -189,7 +186,8 @@
 }
 
 // take takes changes in; a whole list also tells what is no longer there.
-func (f *Follower) take(changes ReplicaChanges, whole bool) {
+// Regained says that some changes are from a time when the store was away.
+func (f *Follower) take(changes ReplicaChanges, whole, regained bool) {
 	listed := map[string]bool{}
 	for _, change := range changes.Changes {
 		listed[change.ID] = true
@@ -198,7 +196,7 @@
 		}
 		f.seen[change.ID] = change.Version
 		if change.Replica == nil {
-			f.vanished(change.ID)
+			f.vanished(change.ID, regained)
 			continue
 		}
 		f.appeared(change.Replica)
@@ -210,7 +208,7 @@
 		id := u.Instance.ID
 		// A list from before an entry's last change says nothing of it.
 		if !listed[id] && f.seen[id] <= changes.Position {
-			f.vanished(id)
+			f.vanished(id, regained)
 		}
 	}
 }
@@ -272,24 +270,27 @@
 	}
 }
 
-// vanished takes in that an entry is no longer there. Around an outage of the
-// store a live replica's entry may have lapsed: it then has some time to come
-// back before its replica counts as gone, or a whole service would seem to be
-// gone at once.
-func (f *Follower) vanished(id string) {
+// vanished takes in that an entry is no longer there.
+//
+// Failure: while the store is away live replicas cannot write to it and their
+// entries lapse; at its return a whole service seems to be gone, and every
+// request is refused. An entry that vanished before the store was regained has
+// therefore some time to come back. One that vanishes afterwards is gone now:
+// waiting with those would send new work to replicas that leave.
+func (f *Follower) vanished(id string, regained bool) {
 	if f.config.Upstreams.Get(id) == nil {
 		return
 	}
 	if _, ok := f.gone[id]; ok {
 		return
 	}
-	if time.Since(time.Unix(0, f.failed.Load())) < troubleMemory {
-		if _, ok := f.lapsed[id]; !ok {
-			f.lapsed[id] = time.Now().Add(lapseGrace)
-		}
+	if !regained {
+		f.lose(id, time.Now())
 		return
 	}
-	f.lose(id, time.Now())
+	if _, ok := f.lapsed[id]; !ok {
+		f.lapsed[id] = time.Now().Add(lapseGrace)
+	}
 }
 
 // lose counts a replica as gone.
