--- a/command/entry.go
+++ b/command/entry.go
@@ -19,12 +19,14 @@
 	flags := flag.NewFlagSet("entry", flag.ContinueOnError)
 	flags.SetOutput(errOut)
 	level := flags.String("log-level", "info", "debug, info, warn or error")
+	policy := flags.String("policy", entry.PolicyPredicted, "how replicas are chosen: predicted or nearest")
 	path := flags.String("settings", os.Getenv(platform.SettingsVariable), "settings file")
 	if flags.Parse(args) != nil {
 		return exitUsage
 	}
-	if *path == "" || flags.NArg() > 0 {
-		fmt.Fprintln(errOut, "usage: zinniamast entry [-settings FILE] [-log-level LEVEL]")
+	known := *policy == entry.PolicyPredicted || *policy == entry.PolicyNearest
+	if *path == "" || !known || flags.NArg() > 0 {
+		fmt.Fprintln(errOut, "usage: zinniamast entry [-settings FILE] [-log-level LEVEL] [-policy predicted|nearest]")
 		return exitUsage
 	}
 	loaded, err := platform.LoadSettings(*path)
@@ -42,6 +44,7 @@
 		Settings: loaded,
 		Path:     *path,
 		Hangups:  hangups,
+		Policy:   *policy,
 		Logger:   logger,
 	})
 	if err != nil {
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -19,6 +19,7 @@
 	"zinniamast/registry"
 	"zinniamast/retry"
 	"zinniamast/roster"
+	"zinniamast/routing"
 	"zinniamast/scaling"
 	"zinniamast/usage"
 )
@@ -41,6 +42,7 @@
 		Gossip: e.members,
 		Nodes:  e.nodes,
 	})
+	e.routeRequests()
 	e.takeDuties()
 	e.serveCallers()
 	return nil
@@ -55,7 +57,7 @@
 	e.follower = registry.NewFollower(registry.FollowerConfig{
 		Source:    store,
 		Routes:    e.routes,
-		Upstreams: e.upstreams,
+		Upstreams: e.board.Upstreams,
 		Build:     newReplica,
 		Logger:    e.config.Logger,
 	})
@@ -111,7 +113,7 @@
 	})
 	e.scaling = scaling.New(scaling.Config{
 		Routes:         e.routes,
-		Upstreams:      e.upstreams,
+		Upstreams:      e.board.Upstreams,
 		Demand:         e.demand,
 		Lease:          e.lease,
 		Duties:         duties,
@@ -120,17 +122,36 @@
 	})
 }
 
+// routeRequests builds the policy that the command line names.
+func (e *Entry) routeRequests() {
+	s := e.config.Settings
+	if e.config.Policy == PolicyNearest {
+		e.router = nearest.New(nearest.Config{
+			Upstreams:     e.board.Upstreams,
+			FailureDomain: s.FailureDomain,
+		})
+		return
+	}
+	predicted := routing.New(routing.Config{
+		Board:         e.board,
+		Node:          s.Instance,
+		FailureDomain: s.FailureDomain,
+		Gossip:        e.members,
+		Logger:        e.config.Logger,
+		Registerer:    e.registry,
+	})
+	e.router = predicted
+	e.runRouter = predicted.Run
+}
+
 // serveCallers builds the listeners' handlers.
 func (e *Entry) serveCallers() {
 	s := e.config.Settings
 	handler := forward.New(forward.Config{
 		Routes:    e.routes,
-		Upstreams: e.upstreams,
-		Router: nearest.New(nearest.Config{
-			Upstreams:     e.upstreams,
-			FailureDomain: s.FailureDomain,
-		}),
-		Protocol: platform.Headers{},
+		Upstreams: e.board.Upstreams,
+		Router:    e.router,
+		Protocol:  platform.Headers{},
 		Budget: retry.NewWindow(retry.WindowConfig{
 			Ratio:  s.Bounds.RetryRatio,
 			Slack:  s.Bounds.RetrySlack,
@@ -203,6 +224,7 @@
 		e.reporter.Run,
 		e.scaling.Run,
 		e.reload,
+		e.runRouter,
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,9 +37,19 @@
 	// Path is the settings file, read again on each of Hangups.
 	Path    string
 	Hangups <-chan os.Signal
-	Logger  *slog.Logger
+	// Policy names how replicas are chosen; PolicyPredicted if empty.
+	Policy string
+	Logger *slog.Logger
 }
 
+// The policies that choose replicas.
+const (
+	// PolicyPredicted is package routing: predicted completion and kept prefixes.
+	PolicyPredicted = "predicted"
+	// PolicyNearest is package nearest: the fewest requests, own failure domain first.
+	PolicyNearest = "nearest"
+)
+
 const (
 	// headerTimeout and idleTimeout hold for callers until the configuration
 	// is known; they are the configuration's usual figures.
@@ -60,7 +70,9 @@
 type Entry struct {
 	config    Config
 	routes    *routes.Table
-	upstreams *blackboard.Upstreams
+	board     *blackboard.Board
+	router    zinniamast.Router
+	runRouter func(context.Context)
 	table     zinniamast.Table
 	clock     *clock.Clock
 	follower  *registry.Follower
@@ -87,7 +99,8 @@
 	e := &Entry{
 		config:    config,
 		routes:    &routes.Table{},
-		upstreams: blackboard.NewUpstreams(),
+		board:     blackboard.New(),
+		runRouter: func(context.Context) {},
 		clock:     &clock.Clock{},
 		registry:  prometheus.NewRegistry(),
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -7,7 +7,6 @@
 	"errors"
 	"time"
 
-	"zinniamast/blackboard"
 	"zinniamast/membership"
 	"zinniamast/peer"
 	"zinniamast/routes"
@@ -40,7 +39,7 @@
 		Weight:        1,
 		Seeds:         s.Seeds,
 		List:          e.roster,
-		Members:       blackboard.NewMembers(),
+		Members:       e.board.Members,
 		Transport: membership.RPC{
 			Pool: e.pool,
 		},
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -28,8 +28,9 @@
 	writer http.ResponseWriter
 	// began says that a part of a stream was passed on.
 	began bool
-	// last is the ID of the last event passed on.
-	last string
+	// last is the ID of the last event passed on, and events counts all of them.
+	last   string
+	events int
 
 	// status, header and body hold a plain answer.
 	status int
@@ -153,7 +154,7 @@
 				h.began(c, upstream, started)
 			}
 			w.heard()
-			if failed := a.events(buffer[:whole], response); failed != nil {
+			if failed := a.pass(buffer[:whole], response); failed != nil {
 				return fail(upstream, zinniamast.FailureStopped, failed)
 			}
 			filled = copy(buffer, buffer[whole:filled])
@@ -179,8 +180,8 @@
 	return at + len(eventEnd)
 }
 
-// events writes whole events and remembers the last one's ID.
-func (a *answer) events(data []byte, response *http.Response) error {
+// pass writes whole events and remembers the last one's ID.
+func (a *answer) pass(data []byte, response *http.Response) error {
 	if !a.began {
 		dropHopByHop(response.Header)
 		copyHeader(a.writer.Header(), response.Header)
@@ -191,6 +192,7 @@
 	if _, err := a.writer.Write(data); err != nil {
 		return err
 	}
+	a.events += bytes.Count(data, eventEnd)
 	if id := lastID(data); len(id) > 0 {
 		a.last = string(id)
 	}
@@ -218,7 +220,7 @@
 
 // began notes that a replica has begun to answer.
 func (h *Handler) began(c *call, upstream *blackboard.Upstream, started time.Time) {
-	h.observe(c, upstream.Instance.ID, zinniamast.ObservedFirstToken, time.Since(started), "")
+	h.observe(c, upstream.Instance.ID, zinniamast.ObservedFirstToken, time.Since(started), "", 0)
 	if c.began {
 		return
 	}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -15,6 +15,7 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/prefix"
 	"zinniamast/routes"
 )
 
@@ -177,7 +178,7 @@
 		c.priority = *c.organisation.Priority
 	}
 	c.deadline = deadline(c, arrived)
-	c.prefix = prefixOf(c.ask.Parts)
+	c.prefix = prefix.Parts(c.ask.Parts)
 	return c, nil
 }
 
@@ -279,25 +280,6 @@
 	return hash.Sum64()
 }
 
-// prefixOf hashes each leading run of parts.
-func prefixOf(parts []Part) []uint64 {
-	if len(parts) == 0 {
-		return nil
-	}
-	prefix := make([]uint64, 0, len(parts))
-	last := uint64(0)
-	for _, part := range parts {
-		last = xxh3.Hash([]byte{
-			byte(last), byte(last >> 8), byte(last >> 16), byte(last >> 24),
-			byte(last >> 32), byte(last >> 40), byte(last >> 48), byte(last >> 56),
-			byte(part.ID), byte(part.ID >> 8), byte(part.ID >> 16), byte(part.ID >> 24),
-			byte(part.ID >> 32), byte(part.ID >> 40), byte(part.ID >> 48), byte(part.ID >> 56),
-		})
-		prefix = append(prefix, last)
-	}
-	return prefix
-}
-
 // allow takes the request's amount from its organisation's allowance.
 func (h *Handler) allow(c *call) *zinniamast.Refusal {
 	if _, err := h.config.Quarantine.Check(c.fingerprint); err != nil {
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -6,6 +6,8 @@
 import (
 	"net/http"
 	"time"
+
+	"zinniamast/prefix"
 )
 
 // Protocol reads and writes what a deployment puts into headers.
@@ -34,17 +36,11 @@
 	MaxTokens    int
 	Counted      bool
 	// Parts are the prompt's parts in order, each known by its ID.
-	Parts []Part
+	Parts []prefix.Part
 	// After is the last event that the caller has of the stream; empty for a new one.
 	After string
 }
 
-// Part is a part of a prompt that requests share.
-type Part struct {
-	ID     uint64
-	Tokens int
-}
-
 // Delivery is what a replica is told of a request.
 type Delivery struct {
 	// Instance is the replica it is meant for.
--- a/forward/run.go
+++ b/forward/run.go
@@ -68,7 +68,6 @@
 		Organisation:        c.organisationName(),
 		Priority:            c.priority,
 		PromptTokens:        c.ask.PromptTokens,
-		MaxTokens:           c.ask.MaxTokens,
 		Prefix:              c.prefix,
 		Deadline:            c.deadline,
 		FirstTokenTarget:    c.route.Target,
@@ -94,10 +93,11 @@
 	h.config.Quarantine.Running(id, c.fingerprint)
 	defer h.config.Quarantine.Ended(id, c.fingerprint)
 	started := time.Now()
-	h.observe(c, id, zinniamast.ObservedStart, 0, "")
+	before := a.events
+	h.observe(c, id, zinniamast.ObservedStart, 0, "", 0)
 	failure := h.exchange(ctx, a, c, upstream, started)
 	if failure == nil {
-		h.observe(c, id, zinniamast.ObservedEnd, time.Since(started), "")
+		h.observe(c, id, zinniamast.ObservedEnd, time.Since(started), "", a.events-before)
 		return nil
 	}
 	if ctx.Err() != nil && failure.Failure != zinniamast.FailureDial {
@@ -106,14 +106,14 @@
 			failure.Failure = zinniamast.FailureTimeout
 		}
 	}
-	h.observe(c, id, zinniamast.ObservedEnd, time.Since(started), failure.Failure)
+	h.observe(c, id, zinniamast.ObservedEnd, time.Since(started), failure.Failure, a.events-before)
 	if failure.Outcome().MayHaveCrashed {
 		h.config.Quarantine.Crashed(id)
 	}
 	return failure
 }
 
-func (h *Handler) observe(c *call, upstream string, kind zinniamast.ObservationKind, elapsed time.Duration, failure zinniamast.Failure) {
+func (h *Handler) observe(c *call, upstream string, kind zinniamast.ObservationKind, elapsed time.Duration, failure zinniamast.Failure, events int) {
 	h.config.Router.Observe(zinniamast.Observation{
 		Kind:         kind,
 		Attempt:      c.ask.ID,
@@ -121,6 +121,8 @@
 		Priority:     c.priority,
 		Elapsed:      elapsed,
 		PromptTokens: c.ask.PromptTokens,
+		CachedTokens: zinniamast.UnknownCached,
+		Tokens:       events,
 		Prefix:       c.prefix,
 		Failure:      failure,
 	})
--- a/policy.go
+++ b/policy.go
@@ -67,6 +67,9 @@
 	ObservedEnd
 )
 
+// UnknownCached stands for a count of cached tokens that the engine does not tell.
+const UnknownCached = -1
+
 // Observation is one thing seen of an attempt.
 type Observation struct {
 	// Kind says which.
@@ -79,7 +82,10 @@
 	Priority int
 	// Elapsed is the time that Kind names.
 	Elapsed time.Duration
-	// PromptTokens, CachedTokens and Tokens count the attempt's work, as far as known.
+	// PromptTokens, CachedTokens and Tokens count the attempt's work, as far as
+	// known. CachedTokens is UnknownCached where the engine does not say; Tokens
+	// may count pieces of the answer where tokens are not told apart, as long as
+	// a service's pieces are all of a kind.
 	PromptTokens int
 	CachedTokens int
 	Tokens       int
--- a/routing/observe.go
+++ b/routing/observe.go
@@ -132,9 +132,15 @@
 		return
 	}
 	wait := a.first.Sub(a.started) - p.distance
-	p.learnFirst(a.ahead+float64(max(0, a.prompt-o.CachedTokens)), wait.Seconds())
-	p.cache.learn(a.known, o.CachedTokens)
-	r.learnSurprise(a, o)
+	cached := o.CachedTokens
+	if cached == zinniamast.UnknownCached {
+		// The history's belief stands; nothing confirms or refutes it.
+		cached = a.held
+	} else {
+		p.cache.learn(a.known, cached)
+		r.learnSurprise(a, o)
+	}
+	p.learnFirst(a.ahead+float64(max(0, a.prompt-cached)), wait.Seconds())
 	r.learnAnswer(a.service, a.priority, o.Tokens)
 	if o.Tokens < 2 {
 		return
