Pool each organisation's allowance at one node

Each node now lends its part to a pool, found by hashing, and takes from it; without a pool it uses its own part once the loan has run out, so the sum stays within the whole through cuts.

--- a/demand/demand.go
+++ b/demand/demand.go
@@ -1,5 +1,4 @@
-// Package demand tells the nodes what each of them is asked: tokens by
-// organisation, and running requests by service. Allowances are divided and
+// Package demand tells the nodes what each of them is asked of each service;
 // replicas are ordered by it.
 package demand
 
@@ -16,8 +15,7 @@
 )
 
 const (
-	// interval is how often a node tells; minItemsASecond of a large fleet's
-	// nodes are heard in a second.
+	// interval is how often a node tells in a small fleet.
 	interval = 500 * time.Millisecond
 	// heardASecond bounds the nodes heard in a second at any size of the fleet.
 	heardASecond = 40
@@ -55,23 +53,15 @@
 type Demand struct {
 	config Config
 
-	mu            sync.Mutex
-	organisations map[uint32]*asked
-	services      map[uint32]*counters
-	others        map[string]told
+	mu       sync.Mutex
+	services map[uint32]*counters
+	others   map[string]told
 }
 
 // told is what another node said last.
 type told struct {
-	organisations map[uint32]float64
-	services      map[uint32]Load
-	until         time.Time
-}
-
-// asked is an organisation's rate, and what the other nodes were told of it.
-type asked struct {
-	rate
-	published float64
+	services map[uint32]Load
+	until    time.Time
 }
 
 // rate is an exponentially weighted sum per second.
@@ -113,10 +103,9 @@
 // New returns a table that has counted nothing.
 func New(config Config) *Demand {
 	d := &Demand{
-		config:        config,
-		organisations: map[uint32]*asked{},
-		services:      map[uint32]*counters{},
-		others:        map[string]told{},
+		config:   config,
+		services: map[uint32]*counters{},
+		others:   map[string]told{},
 	}
 	config.Gossip.Subscribe(zinniamast.TopicDemand, d.hear)
 	return d
@@ -124,24 +113,6 @@
 
 func short(name string) uint32 { return uint32(xxh3.HashString(name)) }
 
-// Asked counts what an organisation asks, let in or not.
-func (d *Demand) Asked(organisation string, amount float64) {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	key := short(organisation)
-	r, ok := d.organisations[key]
-	if !ok {
-		r = &asked{
-			rate: rate{
-				at: now,
-			},
-		}
-		d.organisations[key] = r
-	}
-	r.add(amount, now)
-}
-
 func (d *Demand) service(name string, now time.Time) *counters {
 	key := short(name)
 	c, ok := d.services[key]
@@ -224,36 +195,6 @@
 	return sum
 }
 
-// Part returns this node's part of what all nodes are asked by an organisation,
-// and how many nodes, this one included, were heard lately.
-//
-// Failure: at the first requests of an organisation each node knows its own
-// and has heard of no other's; each would give itself the whole. The part is
-// therefore taken of what this node has told, which the others know as well.
-func (d *Demand) Part(organisation string) (part float64, heard int) {
-	now := time.Now()
-	key := short(organisation)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	own := 0.0
-	if r, ok := d.organisations[key]; ok {
-		own = r.published
-	}
-	sum := own
-	heard = 1
-	for _, other := range d.others {
-		if now.After(other.until) {
-			continue
-		}
-		heard++
-		sum += other.organisations[key]
-	}
-	if sum <= 0 {
-		return 0, heard
-	}
-	return own / sum, heard
-}
-
 // Run tells the other nodes until ctx ends.
 func (d *Demand) Run(ctx context.Context) {
 	for {
@@ -274,28 +215,14 @@
 	}
 }
 
-// Sizes of the news' items, in bytes: a hash and its figures.
-const (
-	organisationBytes = 8
-	serviceBytes      = 20
-	forgottenRate     = 0.01
-)
+// serviceBytes is the size of one service in the news: a hash and its figures.
+const serviceBytes = 20
 
-// encode writes the number of organisations, these, and the services.
+// encode writes the load of each service.
 func (d *Demand) encode(now time.Time) []byte {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	value := []byte{0}
-	for key, r := range d.organisations {
-		r.published = 0
-		if r.age(now) < forgottenRate || value[0] == math.MaxUint8 {
-			continue
-		}
-		r.published = r.value
-		value[0]++
-		value = binary.BigEndian.AppendUint32(value, key)
-		value = appendFloat(value, r.value)
-	}
+	var value []byte
 	for key, c := range d.services {
 		if len(value)+serviceBytes > zinniamast.MaxNews {
 			break
@@ -317,26 +244,17 @@
 	return float64(math.Float32frombits(binary.BigEndian.Uint32(data[at:])))
 }
 
-// hear takes in what another node said; what cannot be read counts as nothing said.
+// hear takes in what another node said.
 func (d *Demand) hear(news zinniamast.News) {
-	if news.Origin == d.config.Node || len(news.Value) == 0 {
+	if news.Origin == d.config.Node {
 		return
 	}
 	said := told{
-		organisations: map[uint32]float64{},
-		services:      map[uint32]Load{},
+		services: map[uint32]Load{},
 		// Counted from now, by this node's own clock.
 		until: time.Now().Add(expires + time.Duration(d.config.Nodes())*time.Second/heardASecond),
 	}
-	data := news.Value[1:]
-	for range int(news.Value[0]) {
-		if len(data) < organisationBytes {
-			return
-		}
-		said.organisations[binary.BigEndian.Uint32(data)] = floatAt(data, 4)
-		data = data[organisationBytes:]
-	}
-	for ; len(data) >= serviceBytes; data = data[serviceBytes:] {
+	for data := news.Value; len(data) >= serviceBytes; data = data[serviceBytes:] {
 		said.services[binary.BigEndian.Uint32(data)] = Load{
 			Running:  floatAt(data, 4),
 			Arrivals: floatAt(data, 8),
--- /dev/null
+++ b/entry/allowance.go
@@ -0,0 +1,82 @@
+package entry
+
+import (
+	"context"
+
+	"zinniamast/limits"
+	"zinniamast/routes"
+)
+
+// allowanceName is the name under which nodes ask each other's pools.
+const allowanceName = "Allowance"
+
+// divideAllowances builds what bounds organisations over all nodes.
+func (e *Entry) divideAllowances() {
+	s := e.config.Settings
+	tolerance := limits.Tolerance{
+		Window:  s.Bounds.QuotaWindow,
+		Overage: s.Bounds.QuotaOverage,
+		Slack:   s.Bounds.QuotaSlack,
+	}
+	e.pools = limits.NewPool(limits.PoolConfig{
+		Organisation: e.organisation,
+		Tolerance:    tolerance,
+	})
+	e.allowance = limits.NewAllowance(limits.AllowanceConfig{
+		Node:          s.Instance,
+		Holders:       e.holders,
+		Ask:           e.askPool,
+		Organisations: e.organisations,
+		Pool:          e.pools,
+		Tolerance:     tolerance,
+		Logger:        e.config.Logger,
+	})
+}
+
+func (e *Entry) organisations() []routes.Organisation {
+	if current := e.routes.Current(); current != nil {
+		return current.Organisations
+	}
+	return nil
+}
+
+func (e *Entry) organisation(name string) *routes.Organisation {
+	all := e.organisations()
+	for i := range all {
+		if all[i].Name == name {
+			return &all[i]
+		}
+	}
+	return nil
+}
+
+// holders are all instances on the roster; this one before the roster is read.
+func (e *Entry) holders() []limits.Holder {
+	instances := e.roster.Instances()
+	holders := make([]limits.Holder, 0, len(instances))
+	for _, instance := range instances {
+		holders = append(holders, limits.Holder{
+			ID:      instance.ID,
+			Address: instance.Address,
+		})
+	}
+	return holders
+}
+
+// askPool asks another node.
+func (e *Entry) askPool(ctx context.Context, address string, ask limits.PoolAsk) (limits.PoolAnswer, error) {
+	var answer limits.PoolAnswer
+	err := e.pool.Call(ctx, address, allowanceName+".Take", ask, &answer)
+	return answer, err
+}
+
+// Pools answers other nodes that ask this one's pools.
+type Pools struct {
+	pool *limits.Pool
+}
+
+// Take takes from an organisation's pool.
+func (p *Pools) Take(ask limits.PoolAsk, answer *limits.PoolAnswer) error {
+	answer.Wait, answer.Granted = p.pool.Take(ask.Node, ask.Part, ask.Organisation, ask.Amount)
+	return nil
+}
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -11,7 +11,6 @@
 	"zinniamast/demand"
 	"zinniamast/forward"
 	"zinniamast/lease"
-	"zinniamast/limits"
 	"zinniamast/nearest"
 	"zinniamast/plain"
 	"zinniamast/platform"
@@ -34,6 +33,7 @@
 // assemble wires the controllers.
 func (e *Entry) assemble() error {
 	e.followStore()
+	e.divideAllowances()
 	if err := e.openPeers(); err != nil {
 		return err
 	}
@@ -158,12 +158,7 @@
 			Window: s.Bounds.RetryWindow,
 			Nodes:  e.nodes,
 		}),
-		Allowance: limits.NewAllowance(limits.AllowanceConfig{
-			Part:    e.part,
-			Window:  s.Bounds.QuotaWindow,
-			Overage: s.Bounds.QuotaOverage,
-			Slack:   s.Bounds.QuotaSlack,
-		}),
+		Allowance: e.allowance,
 		Quarantine: quarantine.New(quarantine.Config{
 			Gossip:     e.members,
 			Logger:     e.config.Logger,
@@ -190,27 +185,7 @@
 }
 
 // nodes is how many entry instances there are, cut off ones included.
-func (e *Entry) nodes() int { return max(1, e.roster.Count()) }
-
-// fixedPart is the part of an allowance that is divided evenly: a node whose
-// callers have only just come gets something before the others have heard of them.
-const fixedPart = 0.25
-
-// part is this node's part of an organisation's allowance. It follows what the
-// nodes are asked only while this node hears all of them.
-//
-// Failure: nodes that are cut off from each other each see themselves asked
-// for everything, and together give out the allowance several times. A node
-// that misses any other falls back to the even part; the parts of both kinds
-// add up to at most the whole.
-func (e *Entry) part(organisation string) float64 {
-	even := 1 / float64(e.nodes())
-	asked, heard := e.demand.Part(organisation)
-	if heard < e.nodes() || asked == 0 {
-		return even
-	}
-	return fixedPart*even + (1-fixedPart)*asked
-}
+func (e *Entry) nodes() int { return max(1, len(e.roster.Instances())) }
 
 // controllers are what runs beside the request path.
 func (e *Entry) controllers() []func(context.Context) {
@@ -219,6 +194,7 @@
 		e.enterRoster,
 		e.members.Run,
 		e.demand.Run,
+		e.allowance.Run,
 		e.usage.Run,
 		e.lease.Run,
 		e.reporter.Run,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"zinniamast/clock"
 	"zinniamast/demand"
 	"zinniamast/lease"
+	"zinniamast/limits"
 	"zinniamast/membership"
 	"zinniamast/peer"
 	"zinniamast/platform"
@@ -81,6 +82,8 @@
 	pool      *peer.Pool
 	members   *membership.Membership
 	demand    *demand.Demand
+	pools     *limits.Pool
+	allowance *limits.Allowance
 	usage     *usage.Counter
 	lease     *lease.Lease
 	reporter  *usage.Reporter
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -49,6 +49,7 @@
 	})
 	return errors.Join(
 		e.peers.RegisterPeer(membership.ServiceName, e.members.Receiver()),
+		e.peers.RegisterPeer(allowanceName, &Pools{pool: e.pools}),
 		e.peers.RegisterPeer(relayName, &Relay{routes: e.routes}),
 	)
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -31,7 +31,7 @@
 type Allowance interface {
 	// Take takes a request's amount; where the organisation has no more it
 	// returns when it will.
-	Take(organisation *routes.Organisation, amount float64) (wait time.Duration, ok bool)
+	Take(ctx context.Context, organisation *routes.Organisation, amount float64) (wait time.Duration, ok bool)
 }
 
 // Meter counts requests that began to run, for the usage reports.
@@ -41,8 +41,6 @@
 
 // Demand hears what this node is asked.
 type Demand interface {
-	// Asked counts what an organisation asks, let in or not.
-	Asked(organisation string, amount float64)
 	// Entered counts a request that goes to a service, and Left one that ended.
 	Entered(service string, promptTokens int)
 	Left(service string)
@@ -295,8 +293,7 @@
 			amount = float64(c.ask.PromptTokens + c.ask.MaxTokens)
 		}
 	}
-	h.config.Demand.Asked(c.organisation.Name, amount)
-	wait, ok := h.config.Allowance.Take(c.organisation, amount)
+	wait, ok := h.config.Allowance.Take(c.request.Context(), c.organisation, amount)
 	if ok {
 		return nil
 	}
--- a/httplimit/client.go
+++ b/httplimit/client.go
@@ -6,7 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // ErrTooLarge means that an answer is larger than the client may read.
@@ -25,22 +28,28 @@
 // dialTimeout bounds the connect alone, so that a dead address is told from a slow one.
 const dialTimeout = 2 * time.Second
 
-// Keep-alive probes of a connection without traffic.
+// Keep-alive probes of a connection without traffic, and the bound on what is
+// sent and not acknowledged.
 //
 // Failure: a connection goes silent without a reset while new ones to the same
 // peer work; a call that waits on it would hang until its own timeout. With a
-// probe after a second and two more a second apart the kernel ends such a
-// connection within three seconds.
+// probe after a second and two more a second apart the kernel ends an idle one
+// within three seconds. Probes are not sent while data waits to be
+// acknowledged: there the kernel sends again ever more rarely, and after a cut
+// of some seconds the connection stays silent as long again; the user timeout
+// ends it.
 const (
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
+	userTimeout       = 3 * time.Second
 )
 
 // Dialer returns a dialer whose connections notice a silent peer within seconds.
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: timeout,
+		Control: boundUnacknowledged,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
@@ -50,6 +59,15 @@
 	}
 }
 
+// boundUnacknowledged sets TCP_USER_TIMEOUT.
+func boundUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 // NewClient returns a client with bounds.
 func NewClient(c Config) *http.Client {
 	transport := &http.Transport{
--- a/limits/allowance.go
+++ b/limits/allowance.go
@@ -1,100 +1,262 @@
 package limits
 
 import (
+	"context"
+	"log/slog"
 	"sync"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"zinniamast/routes"
 )
 
+const (
+	// loanMargin is how much longer than the pool a node believes in its loan:
+	// the call that renewed it may have been on its way for callTimeout.
+	loanMargin = 500 * time.Millisecond
+	// poolTimeout bounds one call to a pool; a crossing between failure domains takes some milliseconds.
+	poolTimeout = 200 * time.Millisecond
+	// shunPool is how long a node that did not answer is not asked.
+	shunPool = 2 * time.Second
+	// renewInterval is how often loans are renewed that no request renews.
+	renewInterval = 700 * time.Millisecond
+	// poolsTried is how many nodes a request asks before it is judged here.
+	poolsTried = 2
+)
+
+// Holder is a node that may hold pools.
+type Holder struct {
+	// ID names it, and Address is where it is asked.
+	ID      string
+	Address string
+}
+
+// PoolAsk is one call to another node's pool.
+type PoolAsk struct {
+	// Node lends its Part of the allowance.
+	Node string
+	Part float64
+	// Organisation and Amount are what is taken.
+	Organisation string
+	Amount       float64
+}
+
+// PoolAnswer is a pool's word.
+type PoolAnswer struct {
+	Granted bool
+	// Wait is when to ask again.
+	Wait time.Duration
+}
+
 // AllowanceConfig says how a node divides organisations' allowances.
 type AllowanceConfig struct {
-	// Part returns the part of an organisation's allowance that this node may give out.
-	Part func(organisation string) float64
-	// Window, Overage and Slack are what the fleet may give out beyond the
-	// allowance: in any Window the part Overage of it, and Slack tokens more.
-	Window  time.Duration
-	Overage float64
-	Slack   float64
+	// Node is this instance's name.
+	Node string
+	// Holders returns all nodes, this one included.
+	Holders func() []Holder
+	// Ask asks another node's pool.
+	Ask func(ctx context.Context, address string, ask PoolAsk) (PoolAnswer, error)
+	// Organisations returns those with an allowance, whose loans are renewed.
+	Organisations func() []routes.Organisation
+	// Pool is this node's own.
+	Pool *Pool
+	// Tolerance is what may be given out beyond the allowances.
+	Tolerance Tolerance
+	// Logger hears of pools that do not answer; nil means slog's default.
+	Logger *slog.Logger
 	// Now tells the time; nil is time.Now.
 	Now func() time.Time
 }
 
-// Allowance gives out this node's part of each organisation's rate and burst.
-// Parts add up to at most the whole, so that the bound holds over all nodes
-// while they do not hear each other.
+// Allowance takes from organisations' allowances. Each organisation's is
+// pooled at one node, found by hashing; a node that reaches no pool gives out
+// its own part.
+//
+// Load: requests of one organisation differ in size by a factor of fifty, and
+// callers come unevenly to the nodes. Divided into fixed parts, an allowance
+// that is half used refuses the largest requests; pooled, it admits them.
 type Allowance struct {
-	config  AllowanceConfig
-	started time.Time
+	config AllowanceConfig
 
-	mu      sync.Mutex
-	buckets map[string]*bucket
+	mu sync.Mutex
+	// lent holds until when this node's part is with another's pool.
+	lent map[string]time.Time
+	// own holds this node's buckets for the time without a pool.
+	own map[string]*ownBucket
+	// shunned holds until when a node is not asked.
+	shunned map[string]time.Time
 }
 
-// bucket holds what an organisation may still take here.
-type bucket struct {
-	left float64
-	at   time.Time
+type ownBucket struct {
+	left    float64
+	reserve float64
+	at      time.Time
 }
 
-// NewAllowance returns allowances that fill from now on.
+// NewAllowance returns an allowance without loans; Run renews them.
 func NewAllowance(config AllowanceConfig) *Allowance {
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	if config.Logger == nil {
+		config.Logger = slog.Default()
+	}
 	return &Allowance{
 		config:  config,
-		started: config.Now(),
-		buckets: map[string]*bucket{},
+		lent:    map[string]time.Time{},
+		own:     map[string]*ownBucket{},
+		shunned: map[string]time.Time{},
 	}
 }
 
-// maxAllowanceWait bounds the time a caller is told to stay away; an amount
-// larger than the node's whole burst would otherwise never fit.
-const maxAllowanceWait = 10 * time.Second
+// Run keeps this node's parts lent until ctx ends, so that a pool has the
+// whole allowance also while few ask.
+func (a *Allowance) Run(ctx context.Context) {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		organisations := a.config.Organisations()
+		for i := range organisations {
+			if organisations[i].Rate > 0 {
+				a.pooled(ctx, &organisations[i], 0)
+			}
+		}
+	}
+}
 
-// usedTolerance is the part of the tolerated excess that is given out; the rest
-// is for nodes that have just come or not yet heard of a change.
-const usedTolerance = 0.7
+// Take takes an amount, or returns when it will be there.
+func (a *Allowance) Take(ctx context.Context, o *routes.Organisation, amount float64) (time.Duration, bool) {
+	answer, ok := a.pooled(ctx, o, amount)
+	if ok {
+		return answer.Wait, answer.Granted
+	}
+	return a.takeOwn(o, amount)
+}
 
-// burst is what may be given out at once: the organisation's burst and the
-// tolerated excess of one window.
-//
-// Load: one organisation's requests are of very different sizes, and each
-// node's part of the burst is smaller than the largest. Refusing those while
-// the fleet as a whole is within the allowance would starve the large ones.
-func (a *Allowance) burst(o *routes.Organisation) float64 {
-	tolerated := a.config.Overage * (o.Rate*a.config.Window.Seconds() + o.Burst)
-	if o.ByTokens {
-		tolerated += a.config.Slack
+// pooled asks the organisation's pool; false means that none answered.
+func (a *Allowance) pooled(ctx context.Context, o *routes.Organisation, amount float64) (PoolAnswer, bool) {
+	holders := a.config.Holders()
+	part := partOf(holders)
+	for range poolsTried {
+		holder, ok := a.holder(o.Name, holders)
+		if !ok {
+			break
+		}
+		if holder.ID == a.config.Node {
+			if !a.free(o.Name) {
+				break
+			}
+			wait, granted := a.config.Pool.Take(holder.ID, part, o.Name, amount)
+			return PoolAnswer{
+				Granted: granted,
+				Wait:    wait,
+			}, true
+		}
+		answer, err := a.ask(ctx, holder, PoolAsk{
+			Node:         a.config.Node,
+			Part:         part,
+			Organisation: o.Name,
+			Amount:       amount,
+		})
+		if err == nil {
+			return answer, true
+		}
+		a.shun(holder, err)
 	}
-	return o.Burst + usedTolerance*tolerated
+	return PoolAnswer{}, false
 }
 
-// Take takes an amount, or returns when it will be there.
-func (a *Allowance) Take(o *routes.Organisation, amount float64) (time.Duration, bool) {
-	part := a.config.Part(o.Name)
-	rate, burst := o.Rate*part, a.burst(o)*part
+// unknownNodes is how many nodes a node reckons with that knows of none: one
+// that starts during an outage of the store must not take the whole for its part.
+const unknownNodes = 64
+
+// partOf is each node's part of an allowance.
+func partOf(holders []Holder) float64 {
+	if len(holders) == 0 {
+		return 1.0 / unknownNodes
+	}
+	return 1 / float64(len(holders))
+}
+
+// ask notes the loan before the call goes out: whether it arrives is not known.
+func (a *Allowance) ask(ctx context.Context, holder Holder, ask PoolAsk) (PoolAnswer, error) {
+	a.mu.Lock()
+	a.lent[ask.Organisation] = a.config.Now().Add(poolLease + loanMargin)
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, poolTimeout)
+	defer cancel()
+	return a.config.Ask(ctx, holder.Address, ask)
+}
+
+// free says whether this node's part is not lent.
+func (a *Allowance) free(organisation string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.config.Now().Before(a.lent[organisation])
+}
+
+// holder returns the node with the highest hash for an organisation among
+// those that answer.
+func (a *Allowance) holder(organisation string, holders []Holder) (Holder, bool) {
+	now := a.config.Now()
+	seed := xxh3.HashString(organisation)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	best, highest, found := Holder{}, uint64(0), false
+	for _, h := range holders {
+		if now.Before(a.shunned[h.ID]) {
+			continue
+		}
+		if hash := xxh3.HashStringSeed(h.ID, seed); !found || hash > highest {
+			best, highest, found = h, hash, true
+		}
+	}
+	return best, found
+}
+
+func (a *Allowance) shun(holder Holder, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.shunned[holder.ID] = a.config.Now().Add(shunPool)
+	a.config.Logger.Info("pool does not answer", "node", holder.ID, "cause", err)
+}
+
+// takeOwn takes from this node's own part, or while that is lent from its
+// reserve, a part of the tolerated excess that is never lent.
+func (a *Allowance) takeOwn(o *routes.Organisation, amount float64) (time.Duration, bool) {
+	part := partOf(a.config.Holders())
 	now := a.config.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	b, ok := a.buckets[o.Name]
+	b, ok := a.own[o.Name]
 	if !ok {
-		// A process that was restarted begins with nothing: the one before it may
-		// have given out its whole burst a moment ago.
-		b = &bucket{
-			at: a.started,
+		b = &ownBucket{
+			at: now,
 		}
-		a.buckets[o.Name] = b
+		a.own[o.Name] = b
+	}
+	until := a.lent[o.Name]
+	from := b.at
+	if until.After(from) {
+		from = until
 	}
-	b.left = min(burst, b.left+rate*max(0, now.Sub(b.at).Seconds()))
+	rate, burst := o.Rate*part, o.Burst*part
+	b.left = min(burst, b.left+rate*max(0, now.Sub(from).Seconds()))
+	spare := ownTolerance * a.config.Tolerance.excess(o) * part
+	b.reserve = min(spare, b.reserve+spare*now.Sub(b.at).Seconds()/a.config.Tolerance.Window.Seconds())
 	b.at = now
-	// An amount above the burst takes the bucket below zero, or a small node
-	// would never let a large request through; the debt is paid off before the next.
-	if b.left >= min(amount, burst) {
-		b.left -= amount
+	if amount <= b.reserve {
+		b.reserve -= amount
 		return 0, true
 	}
-	wait := time.Duration((min(amount, burst) - b.left) / rate * float64(time.Second))
-	return min(wait, maxAllowanceWait), false
+	if now.Before(until) {
+		return until.Sub(now), false
+	}
+	return take(&b.left, amount, rate, burst)
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"zinniamast/httplimit"
 )
 
 // Limits of a pool where the configuration leaves a field zero.
@@ -74,8 +76,7 @@
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", address)
+	return httplimit.Dialer(defaultDialTimeout).DialContext(ctx, "tcp", address)
 }
 
 // Traffic returns the pool's byte counters.
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -112,17 +112,22 @@
 	if errors.Is(err, ErrHistoryGone) {
 		f.config.Logger.Info("feed lost its history, reading whole", "table", p.name)
 		p.known = false
+		f.pause(ctx, minPause)
 		return false
 	}
 	if p.pause == 0 {
 		f.config.Logger.Warn("store lost", "table", p.name, "cause", err)
 	}
 	p.pause = min(max(2*p.pause, minPause), maxPause)
+	f.pause(ctx, p.pause)
+	return false
+}
+
+func (f *Follower) pause(ctx context.Context, wait time.Duration) {
 	select {
-	case <-time.After(p.pause):
+	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return false
 }
 
 // followConfig keeps the configuration.
@@ -169,6 +174,9 @@
 		}
 		if f.after(ctx, &p, err) {
 			p.at, p.known = max(p.at, changes.Position), true
+			if whole {
+				f.config.Logger.Info("replicas read whole", "entries", len(changes.Changes), "position", changes.Position, "before", p.at)
+			}
 			f.take(changes, whole, p.regained)
 			f.ready.Store(true)
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -47,7 +47,8 @@
 // Roster implements zinniamast.InstanceList.
 type Roster struct {
 	config Config
-	count  atomic.Int64
+	// instances are those of the last list.
+	instances atomic.Pointer[[]zinniamast.Instance]
 
 	mu        sync.Mutex
 	announced bool
@@ -73,8 +74,14 @@
 	}
 }
 
-// Count returns how many instances the last list had; zero before the first.
-func (r *Roster) Count() int { return int(r.count.Load()) }
+// Instances returns those of the last list; none before the first. The slice
+// is shared and not written.
+func (r *Roster) Instances() []zinniamast.Instance {
+	if known := r.instances.Load(); known != nil {
+		return *known
+	}
+	return nil
+}
 
 // Announced says whether this instance stands on the roster.
 func (r *Roster) Announced() bool {
@@ -158,7 +165,7 @@
 		})
 		offsets = append(offsets, time.Duration(known.OffsetMS)*time.Millisecond)
 	}
-	r.count.Store(int64(len(instances)))
+	r.instances.Store(&instances)
 	if r.config.OnOffsets != nil {
 		r.config.OnOffsets(offsets)
 	}
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -15,7 +15,7 @@
 
 const (
 	// runningPerReplica is how many running requests a replica is ordered for.
-	runningPerReplica = 18
+	runningPerReplica = 12
 	// spare is the part ordered beyond that, for the time that a new replica
 	// takes to start.
 	spare = 1.25
