--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -26,9 +26,10 @@
 // dutyLease is the one lease under which a node does all of the platform's duties.
 const dutyLease = "duties"
 
-// minDutyTerm is the shortest term of the duties' lease: renewed each third of
-// it, it costs the store a write every other second.
-const minDutyTerm = 5 * time.Second
+// minDutyTerm is the shortest term of the duties' lease. Half a second above
+// the platform's own bound, a dead holder is followed within five seconds; a
+// load that jumps meanwhile meets the replicas that are there.
+const minDutyTerm = 3500 * time.Millisecond
 
 // assemble wires the controllers.
 func (e *Entry) assemble() error {
--- a/httplimit/client.go
+++ b/httplimit/client.go
@@ -2,6 +2,7 @@
 package httplimit
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -45,6 +46,26 @@
 	userTimeout       = 3 * time.Second
 )
 
+// DialAbortive dials a connection that is reset when it is closed, with a
+// Dialer's bounds.
+//
+// Failure: a call is given up while its bytes wait behind a cut. The kernel
+// goes on sending them after an ordinary close, and seconds later the peer
+// runs what the caller was told had failed, or takes an order of a node that no
+// longer holds the duty. A reset discards what was not sent.
+func DialAbortive(ctx context.Context, timeout time.Duration, network, address string) (net.Conn, error) {
+	conn, err := Dialer(timeout).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			return nil, errors.Join(err, conn.Close())
+		}
+	}
+	return conn, nil
+}
+
 // Dialer returns a dialer whose connections notice a silent peer within seconds.
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
@@ -71,7 +92,9 @@
 // NewClient returns a client with bounds.
 func NewClient(c Config) *http.Client {
 	transport := &http.Transport{
-		DialContext:           Dialer(dialTimeout).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return DialAbortive(ctx, dialTimeout, network, address)
+		},
 		MaxConnsPerHost:       c.MaxConnections,
 		MaxIdleConnsPerHost:   c.MaxConnections,
 		IdleConnTimeout:       30 * time.Second,
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -62,9 +62,8 @@
 
 // dialer returns a dial function whose connections are of type *conn.
 func dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
-	d := httplimit.Dialer(timeout)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, address)
+		c, err := httplimit.DialAbortive(ctx, timeout, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// feedWait is how long a feed is asked to wait for a change. Longer waits
-	// cost fewer calls; keep-alive probes notice a silent connection sooner.
-	feedWait = 10 * time.Second
+	// feedWait is how long a feed is asked to wait for a change.
+	//
+	// Failure: the store drops its history, and a feed that is opened meanwhile
+	// hears nothing for as long as it waits, while others hear of replicas that
+	// leave. Two seconds end that within the platform's bounds; each halving
+	// doubles the calls that an idle node makes, one a second now.
+	feedWait = 2 * time.Second
 	// minPause and maxPause bound the wait after a failed call.
 	minPause = 100 * time.Millisecond
 	maxPause = 800 * time.Millisecond
--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -23,7 +23,8 @@
 	// repeatAfter is when an order is sent again that is not fulfilled.
 	repeatAfter = 6 * time.Second
 	// shrinkAfter is how long fewer replicas must do before some are given
-	// back: waves last for some ten seconds, and a start takes four.
+	// back: waves last for some ten seconds, and a start takes four. A cheaper
+	// replica that is there replaces a dearer one at once.
 	shrinkAfter = 8 * time.Second
 )
 
@@ -54,6 +55,14 @@
 	orders map[orderKey]order
 	// refused holds until when a place is left alone.
 	refused map[orderKey]time.Time
+	// needs holds what each service needed lately.
+	needs map[string][]need
+}
+
+// need is how many replicas a service needed at a time.
+type need struct {
+	count int
+	at    time.Time
 }
 
 type orderKey struct {
@@ -64,8 +73,6 @@
 type order struct {
 	count int
 	at    time.Time
-	// fewerSince is since when fewer would do; zero if they would not.
-	fewerSince time.Time
 }
 
 // New returns a controller; Run starts it.
@@ -77,6 +84,7 @@
 		config:  config,
 		orders:  map[orderKey]order{},
 		refused: map[orderKey]time.Time{},
+		needs:   map[string][]need{},
 	}
 }
 
@@ -105,6 +113,8 @@
 		c.fence = fence
 		clear(c.orders)
 		clear(c.refused)
+		clear(c.needs)
+		c.holdPresent(table)
 	}
 	for name, service := range table.Services {
 		if service.Scaling == nil {
@@ -117,6 +127,26 @@
 	}
 }
 
+// holdPresent counts what is there as needed for a while: a node that has just
+// started has heard of no demand yet, and would give half the fleet back.
+func (c *Controller) holdPresent(table *routes.Config) {
+	for name, service := range table.Services {
+		if service.Scaling == nil {
+			continue
+		}
+		present := 0
+		for _, u := range c.config.Upstreams.Of(name) {
+			if !u.Leaving() {
+				present++
+			}
+		}
+		c.needs[name] = []need{{
+			count: present,
+			at:    time.Now(),
+		}}
+	}
+}
+
 // state gathers what a plan is made from.
 func (c *Controller) state(service routes.Service) State {
 	s := State{
@@ -141,6 +171,7 @@
 		s.Domains = slices.Clone(c.config.FailureDomains)
 	}
 	now := time.Now()
+	s.Needed = c.most(service.Name, needed(s), now)
 	for key, until := range c.refused {
 		if key.service == service.Name && now.Before(until) {
 			s.Refused[key.place] = true
@@ -149,8 +180,24 @@
 	return s
 }
 
-// order sends an order that differs from the last one, at once where it asks
-// for more and after a while where it asks for fewer.
+// most returns the largest need of the last while.
+func (c *Controller) most(service string, count int, now time.Time) int {
+	latest := need{
+		count: count,
+		at:    now,
+	}
+	kept := c.needs[service][:0]
+	for _, n := range c.needs[service] {
+		if now.Sub(n.at) < shrinkAfter {
+			kept = append(kept, n)
+			count = max(count, n.count)
+		}
+	}
+	c.needs[service] = append(kept, latest)
+	return count
+}
+
+// order sends an order that differs from the last one, or that was not fulfilled.
 func (c *Controller) order(ctx context.Context, service string, place Place, count int, s State) {
 	key := orderKey{
 		service: service,
@@ -164,22 +211,9 @@
 			count: present,
 		}
 	}
-	switch {
-	case count > last.count:
-	case count == last.count:
-		last.fewerSince = time.Time{}
-		if present >= count || now.Sub(last.at) < repeatAfter {
-			c.orders[key] = last
-			return
-		}
-	default:
-		if last.fewerSince.IsZero() {
-			last.fewerSince = now
-		}
-		if now.Sub(last.fewerSince) < shrinkAfter {
-			c.orders[key] = last
-			return
-		}
+	if count == last.count && (present >= count || now.Sub(last.at) < repeatAfter) {
+		c.orders[key] = last
+		return
 	}
 	if count > present && now.Before(c.refused[key]) {
 		return
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -19,9 +19,10 @@
 	// spare is the part ordered beyond that, for the time that a new replica
 	// takes to start.
 	spare = 1.25
-	// fewest is how many replicas a service keeps in any case: with fewer, one
-	// slow or crashed replica is too large a part of it.
-	fewest = 4
+	// fewest is how many replicas a service keeps in any case, for the seconds
+	// that pass until a jump of the load is seen and new ones have started: one
+	// organisation may send several times its usual from one moment to the next.
+	fewest = 8
 )
 
 // Place is a failure domain and market.
@@ -34,6 +35,8 @@
 type State struct {
 	Service routes.Service
 	Load    demand.Load
+	// Needed is how many replicas there shall be in all.
+	Needed int
 	// Domains are the failure domains in which the service runs or may run.
 	Domains []string
 	// Refused are places where none is to be had now.
@@ -45,7 +48,7 @@
 // Plan returns how many replicas each place shall have.
 func Plan(s State) map[Place]int {
 	scaling := s.Service.Scaling
-	want := needed(s)
+	want := s.Needed
 	plan := map[Place]int{}
 	domains := byPrice(s)
 	if scaling.SpotPrice > 0 {
@@ -89,7 +92,7 @@
 			Market:        zinniamast.OnDemand,
 		}]
 	}
-	missing := needed(s) - here - planned
+	missing := s.Needed - here - planned
 	for _, domain := range domains {
 		place := Place{
 			FailureDomain: domain,
