--- /dev/null
+++ b/standin/replica/replica.go
@@ -0,0 +1,191 @@
+// Package replica is a stand-in for a replica of the platform: it answers whole
+// requests and streams of events as a test scripts them, and keeps what it ran.
+package replica
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Run is one request that reached the replica.
+type Run struct {
+	ID     string
+	Method string
+	Target string
+	Header http.Header
+	Body   string
+	// Left is set once the caller's side closed the connection before the answer's end.
+	Left chan struct{}
+}
+
+// Behaviour says how a request is answered; the zero value answers whole.
+type Behaviour struct {
+	// Status is the answer's; 200 if zero.
+	Status int
+	// NotRun answers that the request was not executed.
+	NotRun bool
+	// Elsewhere answers that another instance has the address.
+	Elsewhere bool
+	// Reset closes the connection once the request is read, without an answer.
+	Reset bool
+	// Hang answers nothing until the caller leaves.
+	Hang bool
+	// Unsigned leaves out the replica's mark, and Crossed names another request.
+	Unsigned bool
+	Crossed  bool
+	// Events is how many events a stream has; zero answers whole.
+	Events int
+	// BreakAfter closes the connection after so many events, in the middle of
+	// the next; zero never.
+	BreakAfter int
+	// Gap is the time between events.
+	Gap time.Duration
+	// CutBody announces more bytes than it sends.
+	CutBody bool
+}
+
+// Replica is the stand-in.
+type Replica struct {
+	// ID is the instance that it answers for.
+	ID     string
+	server *httptest.Server
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	runs      []*Run
+}
+
+// New starts a replica on a free port.
+func New(id string) *Replica {
+	r := &Replica{
+		ID: id,
+	}
+	r.server = httptest.NewServer(r)
+	return r
+}
+
+// Close stops the replica.
+func (r *Replica) Close() {
+	r.server.CloseClientConnections()
+	r.server.Close()
+}
+
+// Address returns host:port.
+func (r *Replica) Address() string { return strings.TrimPrefix(r.server.URL, "http://") }
+
+// Behave changes how requests are answered from now on.
+func (r *Replica) Behave(b Behaviour) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.behaviour = b
+}
+
+// Runs returns what reached the replica.
+func (r *Replica) Runs() []*Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]*Run(nil), r.runs...)
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	run := &Run{
+		ID:     request.Header.Get("Zinniamast-Request-Id"),
+		Method: request.Method,
+		Target: request.RequestURI,
+		Header: request.Header.Clone(),
+		Body:   string(body),
+		Left:   make(chan struct{}),
+	}
+	r.mu.Lock()
+	b := r.behaviour
+	r.runs = append(r.runs, run)
+	r.mu.Unlock()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-request.Context().Done():
+			close(run.Left)
+		case <-stop:
+		}
+	}()
+	r.answer(w, request, run, b)
+}
+
+func (r *Replica) answer(w http.ResponseWriter, request *http.Request, run *Run, b Behaviour) {
+	switch {
+	case b.Reset:
+		panic(http.ErrAbortHandler)
+	case b.Hang:
+		<-request.Context().Done()
+		<-run.Left
+		panic(http.ErrAbortHandler)
+	case b.NotRun:
+		w.Header().Set("Zinniamast-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case b.Elsewhere || request.Header.Get("Zinniamast-Expect-Instance") != r.ID:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	id := run.ID
+	if b.Crossed {
+		id = "another"
+	}
+	w.Header().Set("Zinniamast-Request-Id", id)
+	if !b.Unsigned {
+		w.Header().Set("Zinniamast-Server-Stamp", "stamp-"+r.ID)
+	}
+	if b.Events > 0 {
+		r.stream(w, request, b)
+		return
+	}
+	r.whole(w, run, b)
+}
+
+func (r *Replica) whole(w http.ResponseWriter, run *Run, b Behaviour) {
+	status := http.StatusOK
+	if b.Status != 0 {
+		status = b.Status
+	}
+	text := r.ID + " ran " + run.ID
+	if b.CutBody {
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)+10))
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text)
+	if b.CutBody {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (r *Replica) stream(w http.ResponseWriter, request *http.Request, b Behaviour) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher, _ := w.(http.Flusher)
+	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	for i := after + 1; i <= b.Events; i++ {
+		if b.BreakAfter > 0 && i > b.BreakAfter {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: half of", i)
+			flusher.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, "piece-"+strconv.Itoa(i))
+		flusher.Flush()
+		select {
+		case <-time.After(b.Gap):
+		case <-request.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
