--- a/demand/demand.go
+++ b/demand/demand.go
@@ -34,8 +34,6 @@
 	Arrivals float64
 	// Prompt is prompt tokens per second.
 	Prompt float64
-	// Late is the part of the answers that began after their target.
-	Late float64
 }
 
 // Config says who tells whom.
@@ -88,8 +86,6 @@
 	at       time.Time
 	arrivals rate
 	prompt   rate
-	answers  rate
-	late     rate
 }
 
 // run ages the average of running requests and changes the count.
@@ -136,18 +132,6 @@
 	c.prompt.add(float64(prompt), now)
 }
 
-// Answered counts an answer that began.
-func (d *Demand) Answered(service string, late bool) {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	c := d.service(service, now)
-	c.answers.add(1, now)
-	if late {
-		c.late.add(1, now)
-	}
-}
-
 // Left counts a request that has ended.
 func (d *Demand) Left(service string) {
 	now := time.Now()
@@ -159,25 +143,19 @@
 // load is this node's own; the caller holds the lock.
 func (c *counters) load(now time.Time) Load {
 	c.run(0, now)
-	l := Load{
+	return Load{
 		Running:  c.average,
 		Arrivals: c.arrivals.age(now),
 		Prompt:   c.prompt.age(now),
 	}
-	if answers := c.answers.age(now); answers > 0 {
-		l.Late = c.late.age(now) / answers
-	}
-	return l
 }
 
-// Of returns what all nodes together are asked of a service. Late is weighted
-// by arrivals.
+// Of returns what all nodes together are asked of a service.
 func (d *Demand) Of(service string) Load {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	sum := d.service(service, now).load(now)
-	late := sum.Late * sum.Arrivals
 	key := short(service)
 	for _, other := range d.others {
 		if now.After(other.until) {
@@ -187,10 +165,6 @@
 		sum.Running += l.Running
 		sum.Arrivals += l.Arrivals
 		sum.Prompt += l.Prompt
-		late += l.Late * l.Arrivals
-	}
-	if sum.Arrivals > 0 {
-		sum.Late = late / sum.Arrivals
 	}
 	return sum
 }
@@ -216,7 +190,7 @@
 }
 
 // serviceBytes is the size of one service in the news: a hash and its figures.
-const serviceBytes = 20
+const serviceBytes = 16
 
 // encode writes the load of each service.
 func (d *Demand) encode(now time.Time) []byte {
@@ -229,7 +203,7 @@
 		}
 		l := c.load(now)
 		value = binary.BigEndian.AppendUint32(value, key)
-		for _, figure := range []float64{l.Running, l.Arrivals, l.Prompt, l.Late} {
+		for _, figure := range []float64{l.Running, l.Arrivals, l.Prompt} {
 			value = appendFloat(value, figure)
 		}
 	}
@@ -259,7 +233,6 @@
 			Running:  floatAt(data, 4),
 			Arrivals: floatAt(data, 8),
 			Prompt:   floatAt(data, 12),
-			Late:     floatAt(data, 16),
 		}
 	}
 	d.mu.Lock()
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -225,9 +225,7 @@
 		return
 	}
 	c.began = true
-	waited := time.Since(c.arrived)
-	h.metrics.first.Observe(waited.Seconds())
-	h.config.Demand.Answered(c.service, c.route.Target > 0 && waited > c.route.Target)
+	h.metrics.first.Observe(time.Since(c.arrived).Seconds())
 	if c.organisation != nil {
 		h.config.Meter.Began(c.organisation.Name)
 	}
--- a/forward/bed_test.go
+++ b/forward/bed_test.go
@@ -43,10 +43,9 @@
 	return wait, wait == 0
 }
 
-func (b *bed) Began(string)          { b.began.Add(1) }
-func (b *bed) Entered(string, int)   {}
-func (b *bed) Left(string)           {}
-func (b *bed) Answered(string, bool) {}
+func (b *bed) Began(string)        { b.began.Add(1) }
+func (b *bed) Entered(string, int) {}
+func (b *bed) Left(string)         {}
 
 // The hosts, paths and keys of the bed's configuration.
 const (
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -44,8 +44,6 @@
 	// Entered counts a request that goes to a service, and Left one that ended.
 	Entered(service string, promptTokens int)
 	Left(service string)
-	// Answered counts an answer that began.
-	Answered(service string, late bool)
 }
 
 // Config says what a handler works with.
--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -154,6 +154,7 @@
 		Load:    c.config.Demand.Of(service.Name),
 		Refused: map[Place]bool{},
 		Present: map[Place]int{},
+		Ordered: map[Place]int{},
 	}
 	for _, u := range c.config.Upstreams.Of(service.Name) {
 		if u.Leaving() {
@@ -170,6 +171,11 @@
 	if len(s.Domains) == 0 {
 		s.Domains = slices.Clone(c.config.FailureDomains)
 	}
+	for key, last := range c.orders {
+		if key.service == service.Name {
+			s.Ordered[key.place] = last.count
+		}
+	}
 	now := time.Now()
 	s.Needed = c.most(service.Name, needed(s), now)
 	for key, until := range c.refused {
@@ -236,7 +242,7 @@
 	})
 	c.config.Logger.Info("replicas ordered", "service", key.service, "failure_domain", key.place.FailureDomain,
 		"market", key.place.Market, "count", count, "present", s.Present[key.place], "running", s.Load.Running,
-		"prompt_tokens_a_second", s.Load.Prompt, "late", s.Load.Late, "fence", fence, "cause", err)
+		"prompt_tokens_a_second", s.Load.Prompt, "fence", fence, "cause", err)
 	switch {
 	case err == nil:
 		c.orders[key] = order{
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -43,6 +43,8 @@
 	Refused map[Place]bool
 	// Present are the replicas that take work, or are starting.
 	Present map[Place]int
+	// Ordered is what was ordered last; some of it may still be starting.
+	Ordered map[Place]int
 }
 
 // Plan returns how many replicas each place shall have.
@@ -78,8 +80,12 @@
 	return plan
 }
 
-// holdOver keeps replicas of the dearer market until the cheaper ones that
-// take their place are there: between the order and the start lie seconds.
+// holdOver keeps replicas of the dearer market, also those that are starting,
+// until the cheaper ones that take their place are there.
+//
+// Load: reclaimable ones are refused for some seconds. Each time they are
+// asked for again the plan counts on them; giving the dearer ones back at that
+// moment and ordering them anew at the refusal starts replicas that never serve.
 func holdOver(plan map[Place]int, domains []string, s State) {
 	here, planned := 0, 0
 	for _, domain := range domains {
@@ -102,7 +108,7 @@
 			FailureDomain: domain,
 			Market:        zinniamast.Reclaimable,
 		}]
-		kept := min(missing, s.Present[place]-plan[place], room)
+		kept := min(missing, max(s.Present[place], s.Ordered[place])-plan[place], room)
 		if kept > 0 {
 			plan[place] += kept
 			missing -= kept
--- a/scaling/plan_test.go
+++ b/scaling/plan_test.go
@@ -92,6 +92,32 @@
 	check.Equal(total(plan, zinniamast.OnDemand), 4)
 }
 
+// Reclaimable replicas are asked for again after a refusal. The on-demand ones
+// that were ordered meanwhile, and have not started yet, stay ordered until the
+// reclaimable ones are there.
+func TestNoFlapping(t *testing.T) {
+	check := is.New(t)
+	state := scaling.State{
+		Service: service(),
+		Domains: domains,
+		Needed:  10,
+		Present: map[scaling.Place]int{
+			place("a", zinniamast.Reclaimable): 3,
+		},
+		Ordered: map[scaling.Place]int{},
+	}
+	for _, domain := range domains[1:] {
+		state.Ordered[place(domain, zinniamast.OnDemand)] = 2
+	}
+	plan := scaling.Plan(state)
+	check.Equal(total(plan, zinniamast.OnDemand), 6)
+	for _, domain := range domains[1:] {
+		state.Present[place(domain, zinniamast.Reclaimable)] = 3
+	}
+	plan = scaling.Plan(state)
+	check.Equal(total(plan, zinniamast.OnDemand), 0)
+}
+
 // Whatever is needed, present or refused, each failure domain has its least
 // number and no more than its most, of both markets together.
 func TestPlanKeepsToTheLimits(t *testing.T) {
