Follow the store through one reader a failure domain

One node of each failure domain now follows the store and answers the others as its feed would; a silent or stale one is left for the store at once. Candidates far down look at the lease rarely; counts are written as often as one node's loss matters.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"zinniamast"
 	"zinniamast/demand"
 	"zinniamast/forward"
@@ -56,7 +58,10 @@
 	store.OnClock(e.clock.Heard)
 	e.table = platform.NewTable(store)
 	e.follower = registry.NewFollower(registry.FollowerConfig{
-		Source:    store,
+		Source: registry.NewRelayed(registry.RelayedConfig{
+			Store:  store,
+			Reader: e.domainReader,
+		}),
 		Routes:    e.routes,
 		Upstreams: e.board.Upstreams,
 		Build:     newReplica,
@@ -100,6 +105,7 @@
 		Name:   dutyLease,
 		Holder: s.Instance,
 		Term:   max(minDutyTerm, s.Bounds.LeaseTerm),
+		Rank:   e.dutyRank,
 		Logger: e.config.Logger,
 	})
 	duties := platform.NewCloud(s.CloudAddress, s.Instance)
@@ -145,6 +151,18 @@
 	e.runRouter = predicted.Run
 }
 
+// dutyRank is how many nodes are to follow a dead holder before this one.
+func (e *Entry) dutyRank() int {
+	own := xxh3.HashString(dutyLease + e.config.Settings.Instance)
+	rank := 0
+	for _, instance := range e.roster.Instances() {
+		if xxh3.HashString(dutyLease+instance.ID) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // serveCallers builds the listeners' handlers.
 func (e *Entry) serveCallers() {
 	s := e.config.Settings
@@ -212,6 +230,8 @@
 	rosterInterval = 10 * time.Second
 	rosterFirst    = time.Second
 	rosterFast     = 5
+	// rosterANode keeps the reads of a large fleet at two a second.
+	rosterANode = 500 * time.Millisecond
 )
 
 // enterRoster announces this node and goes on counting the others.
@@ -221,7 +241,7 @@
 		if _, err := e.roster.List(ctx); err != nil {
 			e.config.Logger.Debug("roster not read", "cause", err)
 		}
-		wait := rosterInterval
+		wait := max(rosterInterval, time.Duration(e.nodes())*rosterANode)
 		if round < rosterFast {
 			wait = rosterFirst
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,6 +80,8 @@
 	roster    *roster.Roster
 	peers     *peer.Server
 	pool      *peer.Pool
+	// follow carries calls that wait, apart from heartbeats and quick calls.
+	follow    *peer.Pool
 	members   *membership.Membership
 	demand    *demand.Demand
 	pools     *limits.Pool
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -27,11 +27,13 @@
 	if err != nil {
 		return errPeers(err)
 	}
-	e.pool, err = peer.NewPool(peer.PoolConfig{
-		Keys: keys,
-	})
-	if err != nil {
-		return errPeers(err)
+	for _, pool := range []**peer.Pool{&e.pool, &e.follow} {
+		*pool, err = peer.NewPool(peer.PoolConfig{
+			Keys: keys,
+		})
+		if err != nil {
+			return errPeers(err)
+		}
 	}
 	e.members = membership.New(membership.Config{
 		ID:            s.Instance,
@@ -72,14 +74,14 @@
 	return 0
 }
 
-// relayName is the name under which nodes give each other the configuration.
-const relayName = "Configuration"
+// relayName is the name under which nodes tell each other what the store holds.
+const relayName = "Relay"
 
 // relayTimeout bounds fetching the configuration from a peer.
 const relayTimeout = 2 * time.Second
 
-// Relay gives peers the configuration in force here: the store may turn single
-// nodes away while it serves the others.
+// Relay tells peers what this node knows of the store: the store may turn
+// single nodes away while it serves the others, and few nodes follow it.
 type Relay struct {
 	routes   *routes.Table
 	follower *registry.Follower
@@ -93,8 +95,8 @@
 	return nil
 }
 
-// Replicas answers with the entries known here.
-func (r *Relay) Replicas(_ struct{}, reply *registry.ReplicaChanges) error {
+// Known answers with the entries known here.
+func (r *Relay) Known(_ struct{}, reply *registry.ReplicaChanges) error {
 	*reply = r.follower.Known()
 	return nil
 }
@@ -123,7 +125,7 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	var known registry.ReplicaChanges
-	if err := e.pool.Call(ctx, address, relayName+".Replicas", struct{}{}, &known); err != nil {
+	if err := e.pool.Call(ctx, address, relayName+".Known", struct{}{}, &known); err != nil {
 		e.config.Logger.Debug("replicas not fetched", "peer", address, "cause", err)
 		return
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -39,6 +39,9 @@
 	renewShare  = 3
 	againShare  = 12
 	pollShare   = 2
+	// firstRanks candidates look at the usual pace, and the others lastPace times as rarely.
+	firstRanks = 3
+	lastPace   = 8
 )
 
 // Config says which lease is wanted and how.
@@ -51,6 +54,10 @@
 	Holder string
 	// Term is how long a lease lasts without renewal; zero means 15 seconds.
 	Term time.Duration
+	// Rank returns how many other candidates come before this one; nil means
+	// none. Candidates far down look rarely: many nodes that each read the lease
+	// all the time cost the table more than its holder does.
+	Rank func() int
 	// Logger takes a line for each change; nil means slog's default.
 	Logger *slog.Logger
 	// Now is the clock; nil means time.Now.
--- a/lease/run.go
+++ b/lease/run.go
@@ -44,6 +44,9 @@
 // write, so that of many candidates one writes and the others see it.
 func (l *Lease) watch(ctx context.Context) time.Duration {
 	poll := l.jitter(l.config.Term / pollShare)
+	if l.config.Rank != nil && l.config.Rank() >= firstRanks {
+		poll *= lastPace
+	}
 	ours, err := l.read(ctx)
 	if err != nil {
 		return poll
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,9 +52,8 @@
 	// brought holds what a peer knows, for a node that cannot reach the store.
 	brought chan ReplicaChanges
 
-	mu sync.Mutex
-	// entries are the newest of each replica, for peers; mu guards them.
-	entries map[string]ReplicaChange
+	// shared is what peers are told.
+	shared shared
 
 	// The rest belongs to the replicas' loop.
 
@@ -76,8 +74,8 @@
 	}
 	return &Follower{
 		config:  config,
+		shared:  newShared(),
 		brought: make(chan ReplicaChanges, 1),
-		entries: map[string]ReplicaChange{},
 		seen:    map[string]uint64{},
 		lapsed:  map[string]time.Time{},
 		gone:    map[string]time.Time{},
@@ -87,17 +85,6 @@
 // Ready says whether replicas and a configuration are known.
 func (f *Follower) Ready() bool { return f.ready.Load() && f.config.Routes.Current() != nil }
 
-// Known returns the entries that are known here, for peers.
-func (f *Follower) Known() ReplicaChanges {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var known ReplicaChanges
-	for _, change := range f.entries {
-		known.Changes = append(known.Changes, change)
-	}
-	return known
-}
-
 // Bring gives a follower that has not reached the store yet what a peer knows.
 //
 // Failure: a node starts while the store is down; without replicas it refuses
@@ -199,6 +186,7 @@
 		}
 		p.at, p.known = max(p.at, change.Position), true
 		f.apply(change.Config)
+		f.shared.heardConfig(p.at)
 	}
 }
 
@@ -230,6 +218,7 @@
 			}
 			f.take(changes, whole, p.regained)
 			f.ready.Store(true)
+			f.shared.heardReplicas(p.at, whole)
 		}
 		f.takeBrought()
 		f.settle(time.Now())
@@ -255,7 +244,7 @@
 			continue
 		}
 		f.seen[change.ID] = change.Version
-		f.keep(change)
+		f.shared.keep(change)
 		if change.Replica == nil {
 			f.vanished(change.ID, regained)
 			continue
@@ -274,17 +263,6 @@
 	}
 }
 
-// keep remembers an entry for peers; removed ones are not worth telling.
-func (f *Follower) keep(change ReplicaChange) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if change.Replica == nil {
-		delete(f.entries, change.ID)
-		return
-	}
-	f.entries[change.ID] = change
-}
-
 // appeared takes in an entry that names a replica.
 func (f *Follower) appeared(r *Replica) {
 	delete(f.lapsed, r.ID)
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -9,12 +9,12 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -31,11 +31,14 @@
 )
 
 const (
-	// writeInterval is how often a node writes its counts; what a killed node
-	// began since then is lost to the report, a fifth of one node's window.
+	// lostPart is how much of a window's counts one killed node may lose to the
+	// report: half of the twentieth by which the platform lets it be off.
+	lostPart = 0.025
+	// writeInterval is the shortest time between two writes.
 	writeInterval = time.Second
-	// writesASecond bounds the writes of a large fleet.
-	writesASecond = 100
+	// writeDelay is up to how long after its moment a node writes, so that
+	// nodes do not write together.
+	writeDelay = 300 * time.Millisecond
 	// keepWindows is for how many windows a node's counts stay in its item:
 	// outages of the store shorter than that cost no counts.
 	keepWindows = 12
@@ -97,7 +100,7 @@
 		config: config,
 		key: zinniamast.Key{
 			Partition: CountsPartition,
-			Sort:      config.Node + "/" + rand.Text()[:8],
+			Sort:      config.Node + "/" + strconv.FormatUint(rand.Uint64(), 36),
 		},
 		windows: map[int64]map[string]int{},
 		early:   map[string]int{},
@@ -137,9 +140,8 @@
 // Run writes the counts until ctx ends, and a last time then.
 func (c *Counter) Run(ctx context.Context) {
 	for {
-		wait := max(writeInterval, time.Duration(c.config.Nodes())*time.Second/writesASecond)
 		select {
-		case <-time.After(wait):
+		case <-time.After(c.untilNext()):
 			c.write(ctx, false)
 		case <-ctx.Done():
 			c.write(context.WithoutCancel(ctx), true)
@@ -148,6 +150,22 @@
 	}
 }
 
+// untilNext is the time to the next write. Writes divide each window evenly,
+// and one comes right after its end, when its report is waited for. A node of
+// a large fleet writes once a window: what it would lose is a small part.
+func (c *Counter) untilNext() time.Duration {
+	window := c.config.Window
+	interval := time.Duration(lostPart * float64(window) * float64(c.config.Nodes()))
+	interval = min(max(interval, writeInterval), window)
+	interval = window / (window / interval)
+	now, ok := c.config.Clock.Now()
+	if !ok {
+		return interval
+	}
+	since := time.Duration(now.UnixNano() % int64(interval))
+	return interval - since + rand.N(writeDelay)
+}
+
 // write writes the node's item. A failed write is made up for by the next,
 // which holds all that it held.
 func (c *Counter) write(ctx context.Context, last bool) {
