--- a/clock/clock.go
+++ b/clock/clock.go
@@ -76,6 +76,14 @@
 	c.agreed = true
 }
 
+// NowOrLocal returns true time, or this machine's time of day while that is not known.
+func (c *Clock) NowOrLocal() time.Time {
+	if now, ok := c.Now(); ok {
+		return now
+	}
+	return time.Now()
+}
+
 // Now returns true time; false while it is not known.
 func (c *Clock) Now() (time.Time, bool) {
 	boot := sinceBoot()
--- a/command/command.go
+++ b/command/command.go
@@ -31,6 +31,11 @@
 		help: "run an entry instance on the users' platform",
 		run:  Entry,
 	},
+	{
+		name: "explain",
+		help: "tell one request's story from the logs of several nodes",
+		run:  Explain,
+	},
 	{
 		name: "demo",
 		help: "run a node beside stand-ins for every outside system",
--- a/command/config.go
+++ b/command/config.go
@@ -148,7 +148,7 @@
 }
 
 func printEntry(out io.Writer, entry rollout.Entry) {
-	fmt.Fprintf(out, "version %d  %s  %s\n  why: %s\n", entry.Number, clock(entry.When), entry.Who, entry.Why)
+	fmt.Fprintf(out, "version %d  %s  %s\n  why: %s\n", entry.Number, timeOfDay(entry.When), entry.Who, entry.Why)
 	for _, change := range entry.Changes {
 		fmt.Fprintln(out, "  "+change.String())
 	}
@@ -183,7 +183,7 @@
 	table(out, "FAILURE DOMAIN\tNODE\tVERSION\tSINCE\tCURRENT\tPROBLEM", func(w io.Writer) {
 		for _, node := range nodes {
 			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%v\t%s\n",
-				node.FailureDomain, orDash(node.Node), node.Number, clock(node.Since), node.Current, orDash(node.Error))
+				node.FailureDomain, orDash(node.Node), node.Number, timeOfDay(node.Since), node.Current, orDash(node.Error))
 		}
 	})
 }
--- a/command/configput.go
+++ b/command/configput.go
@@ -91,7 +91,7 @@
 func printConflict(out io.Writer, reply rollout.PutReply) {
 	fmt.Fprintf(out, "not accepted: version %d is the newest", reply.Number)
 	if reply.Newest != nil {
-		fmt.Fprintf(out, ", by %s at %s: %s", reply.Newest.Who, clock(reply.Newest.When), reply.Newest.Why)
+		fmt.Fprintf(out, ", by %s at %s: %s", reply.Newest.Who, timeOfDay(reply.Newest.When), reply.Newest.Why)
 	}
 	fmt.Fprintln(out)
 	for _, change := range reply.Changes {
@@ -141,7 +141,7 @@
 			if d.inForce > 0 {
 				after = d.after.Round(time.Millisecond).String()
 			}
-			fmt.Fprintf(w, "%s\t%d of %d\t%s\t%s\t", d.name, d.inForce, d.nodes, clock(d.at), after)
+			fmt.Fprintf(w, "%s\t%d of %d\t%s\t%s\t", d.name, d.inForce, d.nodes, timeOfDay(d.at), after)
 			if len(d.pending) == 0 {
 				fmt.Fprint(w, "-")
 			}
--- a/command/operator.go
+++ b/command/operator.go
@@ -125,8 +125,8 @@
 	_ = w.Flush()
 }
 
-// clock writes a moment, or a dash for none.
-func clock(moment time.Time) string {
+// timeOfDay writes a moment, or a dash for none.
+func timeOfDay(moment time.Time) string {
 	if moment.IsZero() {
 		return "-"
 	}
--- a/command/status.go
+++ b/command/status.go
@@ -48,7 +48,7 @@
 }
 
 func printStatus(out io.Writer, status *operator.Status) {
-	fmt.Fprintf(out, "node %s in %s at %s\n", status.Node, status.FailureDomain, clock(status.Now))
+	fmt.Fprintf(out, "node %s in %s at %s\n", status.Node, status.FailureDomain, timeOfDay(status.Now))
 	if status.Isolated {
 		fmt.Fprintln(out, "warning: the node doubts a member and could ask nobody about it")
 	}
@@ -97,7 +97,7 @@
 				state = "leaving"
 			}
 			if !u.LeavesAt.IsZero() {
-				state = "leaving at " + clock(u.LeavesAt)
+				state = "leaving at " + timeOfDay(u.LeavesAt)
 			}
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", u.ID, u.FailureDomain, u.Service, state, u.Inflight)
 		}
@@ -108,13 +108,13 @@
 	fmt.Fprintln(out, "\nLEASES")
 	table(out, "LEASE\tHOLDER\tFENCE\tEXPIRES", func(w io.Writer) {
 		for _, l := range status.Leases {
-			fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", l.Name, l.Holder, l.Fence, clock(l.Expires))
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", l.Name, l.Holder, l.Fence, timeOfDay(l.Expires))
 		}
 	})
 	fmt.Fprintln(out, "\nOPEN UNKNOWNS")
 	table(out, "REQUEST\tORGANISATION\tSERVICE\tKEY\tSINCE\tUPSTREAM\tSETTLED", func(w io.Writer) {
 		for _, u := range status.Unknowns {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%t\n", u.Request, u.Organisation, u.Service, u.Key, clock(u.Since), u.Upstream, u.Settled)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%t\n", u.Request, u.Organisation, u.Service, u.Key, timeOfDay(u.Since), u.Upstream, u.Settled)
 		}
 	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,10 @@
 	// Path is the settings file, read again on each of Hangups.
 	Path    string
 	Hangups <-chan os.Signal
+	// Metrics is the port of the metrics; zero serves them beside the readiness alone.
+	Metrics int
+	// Clock tells true time to the log; nil makes one.
+	Clock *clock.Clock
 	// Policy names how replicas are chosen; PolicyPredicted if empty.
 	Policy string
 	Logger *slog.Logger
@@ -101,15 +106,22 @@
 
 // New builds an entry instance and opens its listeners.
 func New(config Config) (*Entry, error) {
+	if config.Clock == nil {
+		config.Clock = &clock.Clock{}
+	}
 	e := &Entry{
 		config:    config,
 		routes:    &routes.Table{},
 		board:     blackboard.New(),
 		runRouter: func(context.Context) {},
-		clock:     &clock.Clock{},
+		clock:     config.Clock,
 		registry:  prometheus.NewRegistry(),
 	}
-	for _, address := range []string{config.Settings.Frontend, config.Settings.Ready} {
+	addresses := []string{config.Settings.Frontend, config.Settings.Ready}
+	if config.Metrics > 0 {
+		addresses = append(addresses, net.JoinHostPort(config.Settings.Address, strconv.Itoa(config.Metrics)))
+	}
+	for _, address := range addresses {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
@@ -144,10 +156,12 @@
 	for _, run := range e.controllers() {
 		controllers.Go(func() { run(life) })
 	}
-	failed := make(chan error, 3)
+	failed := make(chan error, len(e.listeners)+1)
 	go func() { failed <- e.peers.Serve() }()
 	go func() { failed <- e.callers.Serve(e.listeners[0]) }()
-	go func() { failed <- e.ready.Serve(e.listeners[1]) }()
+	for _, listener := range e.listeners[1:] {
+		go func() { failed <- e.ready.Serve(listener) }()
+	}
 	e.config.Logger.Info("started", "instance", e.config.Settings.Instance,
 		"failure_domain", e.config.Settings.FailureDomain, "listen", e.config.Settings.Frontend)
 	select {
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,49 @@
+package explain_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"zinniamast/explain"
+)
+
+const (
+	first = `12.0 edge-1 time=2026-09-25T07:51:21.500Z level=INFO msg=sent request=r-1 replica=i-1 cause="a \"b\" c"
+time=2026-09-25T07:51:21.600Z level=INFO msg=sent request=r-12 replica=i-1
+not a line about r-1
+`
+	second = `time=2026-09-25T07:51:21.000Z level=INFO msg=admitted request=r-1
+time=2026-09-25T07:51:22.000Z level=WARN msg="broken off" request=r-1 reason=upstream_failed
+`
+)
+
+func Example() {
+	lines, err := explain.Read(nil, "edge-1", strings.NewReader(first), "r-1")
+	if err != nil {
+		fmt.Println(err)
+	}
+	lines, err = explain.Read(lines, "edge-2", strings.NewReader(second), "r-1")
+	if err != nil {
+		fmt.Println(err)
+	}
+	if err := explain.Write(os.Stdout, "r-1", lines); err != nil {
+		fmt.Println(err)
+	}
+	// Output:
+	// request r-1, from 2026-09-25T07:51:21Z
+	//    +0.000s  edge-2       admitted
+	//    +0.500s  edge-1       sent           replica=i-1 cause=a "b" c
+	//    +1.000s  edge-2       broken off     reason=upstream_failed
+}
+
+// An id that no log names is told as such, and not as an empty story.
+func TestUnknownRequest(t *testing.T) {
+	check := is.New(t)
+	lines, err := explain.Read(nil, "edge-1", strings.NewReader(first), "r-9")
+	check.NoErr(err)
+	check.Equal(explain.Write(&strings.Builder{}, "r-9", lines), explain.ErrUnknown)
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -125,10 +125,12 @@
 	service      string
 	organisation *routes.Organisation
 	limits       routes.Limits
-	priority     int
-	body         []byte
-	fingerprint  uint64
-	prefix       []uint64
+	// version is that of the configuration which decides the request.
+	version     int64
+	priority    int
+	body        []byte
+	fingerprint uint64
+	prefix      []uint64
 
 	// sends counts replicas that may have run the request, and avoid names
 	// those that it shall not go to again.
@@ -157,6 +159,7 @@
 		return c, zinniamast.Refuse(zinniamast.ReasonStarting, "no configuration yet").After(startingRetryAfter)
 	}
 	c.limits = table.Limits
+	c.version = table.Version
 	c.route = table.Match(hostOf(r), r.URL.Path)
 	if c.route == nil {
 		return c, zinniamast.Refuse(zinniamast.ReasonNotFound, "no route")
@@ -316,8 +319,8 @@
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, refusal.Message+"\n")
 	h.metrics.refused.WithLabelValues(string(refusal.Reason)).Inc()
-	h.config.Logger.Info("refused", "request", c.ask.ID, "status", status, "reason", refusal.Reason,
-		"ran", refusal.Ran, "service", c.service, "arrivals", c.arrivals, "avoid", c.avoid,
+	h.config.Logger.Warn("refused", "request", c.ask.ID, "status", status, "reason", refusal.Reason,
+		"ran", refusal.Ran, "service", c.service, "config", c.version, "arrivals", c.arrivals, "avoid", c.avoid,
 		"retry_after", refusal.RetryAfter, "elapsed", time.Since(c.arrived).Round(time.Millisecond))
 }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -55,7 +55,7 @@
 			return
 		}
 		h.metrics.again.WithLabelValues(string(failure.Failure)).Inc()
-		h.config.Logger.Info("sent again", "request", c.ask.ID, "service", c.service, "replica", upstream.Instance.ID,
+		h.config.Logger.Warn("sent again", "request", c.ask.ID, "service", c.service, "replica", upstream.Instance.ID,
 			"failure", failure.Failure, "cause", failure.Cause, "sends", c.sends, "arrivals", c.arrivals, "after", a.last)
 	}
 }
@@ -81,6 +81,11 @@
 	if upstream == nil {
 		return nil, zinniamast.Refuse(zinniamast.ReasonNoUpstream, "no replica").After(noReplicaRetryAfter)
 	}
+	h.config.Logger.Info("sent", "request", c.ask.ID, "service", c.service, "organisation", c.organisationName(),
+		"config", c.version, "priority", c.priority, "prompt_tokens", c.ask.PromptTokens, "replica", choice.Upstream,
+		"failure_domain", upstream.Instance.FailureDomain, "running_here", upstream.Inflight(),
+		"predicted_first", choice.FirstToken.Round(time.Millisecond), "cached", choice.CachedTokens,
+		"left", time.Until(c.deadline).Round(time.Millisecond))
 	return upstream, nil
 }
 
@@ -272,7 +277,7 @@
 func (h *Handler) giveUp(ctx context.Context, a *answer, c *call, refusal *zinniamast.Refusal) {
 	if a.began {
 		h.metrics.refused.WithLabelValues(string(zinniamast.ReasonAnswerCutShort)).Inc()
-		h.config.Logger.Info("broken off", "request", c.ask.ID, "service", c.service, "reason", refusal.Reason,
+		h.config.Logger.Warn("broken off", "request", c.ask.ID, "service", c.service, "reason", refusal.Reason,
 			"last_event", a.last, "sends", c.sends, "avoid", c.avoid, "elapsed", time.Since(c.arrived).Round(time.Millisecond))
 		panic(http.ErrAbortHandler)
 	}
--- a/limits/allowance.go
+++ b/limits/allowance.go
@@ -16,7 +16,7 @@
 	// the call that renewed it may have been on its way for callTimeout.
 	loanMargin = 500 * time.Millisecond
 	// poolTimeout bounds one call to a pool; a crossing between failure domains takes some milliseconds.
-	poolTimeout = 200 * time.Millisecond
+	poolTimeout = 120 * time.Millisecond
 	// shunPool is how long a node that did not answer is not asked.
 	shunPool = 2 * time.Second
 	// aloneFor is how long a node that reaches no pool uses its own part before
