Stay in the failure domain after a connect that fails

After one failed connect it stays at home where home has a replica; a connect is given 300 ms. TestCutOffDomainServesItself fails without it.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -167,10 +167,11 @@
 func (e *Entry) serveCallers() {
 	s := e.config.Settings
 	handler := forward.New(forward.Config{
-		Routes:    e.routes,
-		Upstreams: e.board.Upstreams,
-		Router:    e.router,
-		Protocol:  platform.Headers{},
+		Routes:        e.routes,
+		Upstreams:     e.board.Upstreams,
+		FailureDomain: s.FailureDomain,
+		Router:        e.router,
+		Protocol:      platform.Headers{},
 		Budget: retry.NewWindow(retry.WindowConfig{
 			Ratio:  s.Bounds.RetryRatio,
 			Slack:  s.Bounds.RetrySlack,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,8 +63,10 @@
 	idleTimeout   = 15 * time.Second
 	// maxHeaderBytes bounds a caller's headers; net/http adds 4 KB of slack.
 	maxHeaderBytes = 16 << 10
-	// replicaDialTimeout bounds a connect; a live replica takes some milliseconds.
-	replicaDialTimeout = 500 * time.Millisecond
+	// replicaDialTimeout bounds a connect; a live replica takes some four
+	// milliseconds. A lost first packet is sent again after a second: another
+	// replica is the quicker way.
+	replicaDialTimeout = 300 * time.Millisecond
 	// replicaIdleTimeout is how long a connection to a replica is kept without use.
 	replicaIdleTimeout = 4 * time.Second
 	// stopMargin is what is left of the time to stop when running requests are
--- a/forward/bed_test.go
+++ b/forward/bed_test.go
@@ -122,15 +122,17 @@
 				Started:       time.UnixMilli(1),
 			},
 			Replica: plain.New(plain.Config{
-				Upstream: r.ID,
-				Address:  "http://" + r.Address(),
+				Upstream:    r.ID,
+				Address:     "http://" + r.Address(),
+				DialTimeout: 100 * time.Millisecond,
 			}),
 			Slots: 8,
 		})
 	}
 	handler := forward.New(forward.Config{
-		Routes:    b.routes,
-		Upstreams: b.upstream,
+		Routes:        b.routes,
+		Upstreams:     b.upstream,
+		FailureDomain: "here",
 		Router: nearest.New(nearest.Config{
 			Upstreams:     b.upstream,
 			FailureDomain: "here",
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -11,6 +11,9 @@
 
 	"github.com/matryer/is"
 
+	"zinniamast"
+	"zinniamast/blackboard"
+	"zinniamast/plain"
 	"zinniamast/standin/replica"
 )
 
@@ -253,3 +256,36 @@
 	b.is.True(answer.closes)
 	b.is.Equal(b.runs(), 0)
 }
+
+// The failure domain is cut off: no replica outside takes a connection, and
+// each try costs the whole time of a connect. After the first the request goes
+// to a replica beside the node, and is not refused after four.
+func TestCutOffDomainServesItself(t *testing.T) {
+	b := newBed(t, 1)
+	for i := range 6 {
+		id := "i-far-" + strconv.Itoa(i)
+		b.upstream.Add(&blackboard.Upstream{
+			Instance: zinniamast.Instance{
+				ID:            id,
+				Service:       "svc",
+				FailureDomain: "far",
+				// A documentation address: nothing answers there, or it is refused at once.
+				Address: "192.0.2.1:9",
+				Started: time.UnixMilli(1),
+			},
+			Replica: plain.New(plain.Config{
+				Upstream:    id,
+				Address:     "http://192.0.2.1:9",
+				DialTimeout: 100 * time.Millisecond,
+			}),
+			// Nothing runs there, while the near one seems busy.
+			Slots: 1000,
+		})
+	}
+	for range 8 {
+		b.upstream.Get("i-a").Enter() // crowded: the far ones come first
+	}
+	answer := b.do(b.request(http.MethodPost, pathPay, "x"))
+	b.is.Equal(answer.status, http.StatusOK)
+	b.is.Equal(answer.header.Get("Zinniamast-Server-Stamp"), "stamp-i-a")
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -48,15 +48,17 @@
 
 // Config says what a handler works with.
 type Config struct {
-	Routes     *routes.Table
-	Upstreams  *blackboard.Upstreams
-	Router     zinniamast.Router
-	Protocol   Protocol
-	Budget     Budget
-	Allowance  Allowance
-	Quarantine zinniamast.Quarantine
-	Meter      Meter
-	Demand     Demand
+	Routes    *routes.Table
+	Upstreams *blackboard.Upstreams
+	// FailureDomain is where the node runs.
+	FailureDomain string
+	Router        zinniamast.Router
+	Protocol      Protocol
+	Budget        Budget
+	Allowance     Allowance
+	Quarantine    zinniamast.Quarantine
+	Meter         Meter
+	Demand        Demand
 	// Closing says that the node stops and accepts nothing more.
 	Closing func() bool
 	// Stopping says that the node is about to stop: connections are closed with their next answer.
--- a/forward/run.go
+++ b/forward/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -238,6 +239,7 @@
 		return zinniamast.Refuse(zinniamast.ReasonNoUpstream, "no replica takes connections").With(c.ran).After(noReplicaRetryAfter)
 	}
 	if failure.Failure == zinniamast.FailureDial {
+		h.stayHome(c)
 		return nil
 	}
 	ran := failure.Outcome().Ran
@@ -253,6 +255,30 @@
 	return nil
 }
 
+// stayHome keeps a request to this failure domain after a connection could not
+// be made, where the domain has another replica.
+//
+// Failure: the failure domain is cut off. Each replica outside costs a request
+// the whole time of a connect, one after the other, and it is refused after four
+// of them although the replicas beside this node are well.
+func (h *Handler) stayHome(c *call) {
+	all := h.config.Upstreams.Of(c.service)
+	home := false
+	for _, u := range all {
+		if u.Instance.FailureDomain == h.config.FailureDomain && !u.Leaving() && !slices.Contains(c.avoid, u.Instance.ID) {
+			home = true
+		}
+	}
+	if !home {
+		return
+	}
+	for _, u := range all {
+		if u.Instance.FailureDomain != h.config.FailureDomain {
+			c.avoids(u.Instance.ID)
+		}
+	}
+}
+
 // failed is the refusal of a request that no further replica is asked for.
 func (h *Handler) failed(c *call) *zinniamast.Refusal {
 	if c.ran == zinniamast.NotRun {
