--- a/httplimit/client.go
+++ b/httplimit/client.go
@@ -46,15 +46,14 @@
 	userTimeout       = 3 * time.Second
 )
 
-// DialAbortive dials a connection that is reset when it is closed, with a
-// Dialer's bounds.
+// DialAbortive dials a connection that is reset when it is closed.
 //
 // Failure: a call is given up while its bytes wait behind a cut. The kernel
 // goes on sending them after an ordinary close, and seconds later the peer
 // runs what the caller was told had failed, or takes an order of a node that no
 // longer holds the duty. A reset discards what was not sent.
-func DialAbortive(ctx context.Context, timeout time.Duration, network, address string) (net.Conn, error) {
-	conn, err := Dialer(timeout).DialContext(ctx, network, address)
+func DialAbortive(ctx context.Context, dialer *net.Dialer, network, address string) (net.Conn, error) {
+	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
@@ -93,7 +92,7 @@
 func NewClient(c Config) *http.Client {
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return DialAbortive(ctx, dialTimeout, network, address)
+			return DialAbortive(ctx, Dialer(dialTimeout), network, address)
 		},
 		MaxConnsPerHost:       c.MaxConnections,
 		MaxIdleConnsPerHost:   c.MaxConnections,
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -61,9 +61,21 @@
 }
 
 // dialer returns a dial function whose connections are of type *conn.
+//
+// The kernel does not end them for silence.
+//
+// Failure: a request waits behind a cut, the kernel's probes end its
+// connection, and this process has nothing left to reset: the request reaches
+// the replica when the cut heals, seconds after its caller was told that it had
+// failed. Without probes a request's own deadline closes the connection, and
+// the reset discards what was not delivered.
 func dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	d := &net.Dialer{
+		Timeout:   timeout,
+		KeepAlive: -1,
+	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := httplimit.DialAbortive(ctx, timeout, network, address)
+		c, err := httplimit.DialAbortive(ctx, d, network, address)
 		if err != nil {
 			return nil, err
 		}
