Refuse fields given twice; take an engine's 4xx as final

All strict decoders refuse with line and path, the callers' side names the field, and a 4xx ends the request with the engine's reason.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -171,6 +171,7 @@
 		"not JSON":     {nil, `{"model":`, 400, zinniamast.ReasonMalformed},
 		"no messages":  {nil, `{"model":"summary","messages":[]}`, 400, zinniamast.ReasonMalformed},
 		"two answers":  {nil, `{"model":"summary","n":2,"messages":[1]}`, 400, zinniamast.ReasonMalformed},
+		"given twice":  {nil, `{"model":"summary","messages":[1],"model":"other"}`, 400, zinniamast.ReasonMalformed},
 		"no such":      {nil, `{"model":"other","messages":[1]}`, 404, zinniamast.ReasonUnknownModel},
 		"oversized":    {nil, `{"model":"summary","messages":["` + strings.Repeat("x", 70<<10) + `"]}`, 413, zinniamast.ReasonOversized},
 		"class":        {map[string]string{caller.HeaderClass: "first"}, ask, 400, zinniamast.ReasonMalformed},
--- a/caller/parse.go
+++ b/caller/parse.go
@@ -87,6 +87,9 @@
 	if err != nil {
 		return nil, zinniamast.Refuse(zinniamast.ReasonMalformed, "the body is not a JSON object")
 	}
+	if field, twice := givenTwice(object); twice {
+		return nil, zinniamast.Refuse(zinniamast.ReasonMalformed, "%s: is given twice", field)
+	}
 	messages := value.Get("messages")
 	if messages == nil || messages.Type() != fastjson.TypeArray || len(messages.GetArray()) == 0 {
 		return nil, zinniamast.Refuse(zinniamast.ReasonMalformed, "messages: must be an array that is not empty")
@@ -116,6 +119,23 @@
 	return a, nil
 }
 
+// givenTwice returns a field that the object holds more than once.
+//
+// Failure: a request names its model twice. The node judges it by the first and
+// passes the second on among the remaining fields, so that a model runs which
+// nobody has checked.
+func givenTwice(object *fastjson.Object) (string, bool) {
+	seen := make([]string, 0, object.Len())
+	twice := ""
+	object.Visit(func(key []byte, _ *fastjson.Value) {
+		if slices.Contains(seen, string(key)) {
+			twice = string(key)
+		}
+		seen = append(seen, string(key))
+	})
+	return twice, twice != ""
+}
+
 func readMaxTokens(value *fastjson.Value) (int, *zinniamast.Refusal) {
 	for _, field := range []string{"max_completion_tokens", "max_tokens"} {
 		bound := value.Get(field)
--- a/engine/client.go
+++ b/engine/client.go
@@ -261,21 +261,30 @@
 	// An unreadable error body leaves the status to speak for itself.
 	_ = json.NewDecoder(io.LimitReader(answer.Body, maxControlAnswer)).Decode(&content)
 	cause := merry.Wrap(ErrStatus, merry.AppendMessage(fmt.Sprintf("%d %s %s", answer.StatusCode, content.Error.Code, content.Error.Message)))
-	failure := zinniamast.FailureError
-	switch answer.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound, http.StatusConflict:
-		failure = zinniamast.FailureRefused
-	case http.StatusBadRequest, http.StatusUnprocessableEntity, http.StatusRequestEntityTooLarge:
-		failure = zinniamast.FailureInvalid
-	}
 	return &zinniamast.UpstreamError{
-		Failure:  failure,
+		Failure:  failureOf(answer.StatusCode),
 		Upstream: c.id,
 		Leaving:  content.Error.Code == codeLeaving,
 		Cause:    cause,
 	}
 }
 
+// failureOf says what a status without success proves. A 4xx is the engine's
+// judgement of the request, which another engine would share: sending it again
+// would spend retries and hide the engine's reason behind "the budget is spent".
+// 404 and 409 speak of what this replica has loaded.
+func failureOf(status int) zinniamast.Failure {
+	switch {
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+		status == http.StatusNotFound || status == http.StatusConflict:
+		return zinniamast.FailureRefused
+	case status/100 == 4:
+		return zinniamast.FailureInvalid
+	default:
+		return zinniamast.FailureError
+	}
+}
+
 func (c *Client) failed(failure zinniamast.Failure, cause error) error {
 	return &zinniamast.UpstreamError{
 		Failure:  failure,
--- a/strictjson/decode.go
+++ b/strictjson/decode.go
@@ -11,9 +11,12 @@
 	"strings"
 )
 
-// Decode fills target from raw; an unknown field or trailing text is an error
-// that names its line.
+// Decode fills target from raw; an unknown field, one given twice, or trailing
+// text is an error that names its line.
 func Decode(raw []byte, target any) error {
+	if err := unique(raw); err != nil {
+		return err
+	}
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(target); err != nil {
@@ -25,6 +28,74 @@
 	return nil
 }
 
+// unique refuses a field that is given twice, at any depth, with its path.
+//
+// Failure: encoding/json silently takes the last of two. An operator who pastes
+// a second "defaults" beside the first changes the whole fleet without a word.
+// What is no JSON at all is left to the decoder, which says so.
+func unique(raw []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	path, err := twice(decoder)
+	if path == "" || err != nil {
+		return nil
+	}
+	return fmt.Errorf("line %d: %s is given twice", line(raw, decoder.InputOffset()), path)
+}
+
+// twice returns the path of the first field of the next value that is given twice.
+func twice(decoder *json.Decoder) (string, error) {
+	token, err := decoder.Token()
+	if err != nil {
+		return "", err
+	}
+	switch token {
+	case json.Delim('{'):
+		return twiceInObject(decoder)
+	case json.Delim('['):
+		return twiceInArray(decoder)
+	default:
+		return "", nil
+	}
+}
+
+func twiceInObject(decoder *json.Decoder) (string, error) {
+	seen := map[string]bool{}
+	for decoder.More() {
+		token, err := decoder.Token()
+		if err != nil {
+			return "", err
+		}
+		name, _ := token.(string)
+		if seen[name] {
+			return name, nil
+		}
+		seen[name] = true
+		path, err := twice(decoder)
+		if err != nil {
+			return "", err
+		}
+		if path != "" {
+			return name + "." + path, nil
+		}
+	}
+	_, err := decoder.Token()
+	return "", err
+}
+
+func twiceInArray(decoder *json.Decoder) (string, error) {
+	for i := 0; decoder.More(); i++ {
+		path, err := twice(decoder)
+		if err != nil {
+			return "", err
+		}
+		if path != "" {
+			return fmt.Sprintf("[%d].%s", i, path), nil
+		}
+	}
+	_, err := decoder.Token()
+	return "", err
+}
+
 // offset returns where in the input an error stands, as well as it tells.
 func offset(err error, raw []byte, decoder *json.Decoder) int64 {
 	var syntax *json.SyntaxError
