Bound an event, allocate nothing for one, and close after chunked bodies

Found by TestMalformedRequests: a request with a length and chunks was read by its chunks, and what followed was run as a request of its own; a reader that goes by the length takes that for the body. A chunked request's connection now ends with its answer. Tests for slow bodies, malformed requests, and a request that crashes its replicas.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -21,6 +21,9 @@
 	heldBytes = 64 << 10
 	// streamBuffer holds the events of one read; an event is some 100 bytes.
 	streamBuffer = 16 << 10
+	// maxEvent bounds one event: a replica that never ends one would otherwise
+	// fill this node's memory.
+	maxEvent = 1 << 20
 )
 
 // answer is what goes to the caller.
@@ -28,9 +31,12 @@
 	writer http.ResponseWriter
 	// began says that a part of a stream was passed on.
 	began bool
-	// last is the ID of the last event passed on, and events counts all of them.
-	last   string
+	// last is the ID of the last event passed on, in a buffer that is used again,
+	// and events counts all of them.
+	last   []byte
 	events int
+	// flush sends what was written; it is made once, so that an event allocates nothing.
+	flush func() error
 
 	// status, header and body hold a plain answer.
 	status int
@@ -143,6 +149,9 @@
 	buffer := *pooled
 	filled := 0
 	for {
+		if filled >= maxEvent {
+			return fail(upstream, zinniamast.FailureCutShort, fmt.Errorf("forward: an event above %d bytes", maxEvent))
+		}
 		if filled == len(buffer) {
 			buffer = append(buffer, make([]byte, len(buffer))...)
 		}
@@ -187,6 +196,7 @@
 		copyHeader(a.writer.Header(), response.Header)
 		a.writer.WriteHeader(response.StatusCode)
 		a.status = response.StatusCode
+		a.flush = http.NewResponseController(a.writer).Flush
 		a.began = true
 	}
 	if _, err := a.writer.Write(data); err != nil {
@@ -194,9 +204,9 @@
 	}
 	a.events += bytes.Count(data, eventEnd)
 	if id := lastID(data); len(id) > 0 {
-		a.last = string(id)
+		a.last = append(a.last[:0], id...)
 	}
-	return http.NewResponseController(a.writer).Flush()
+	return a.flush()
 }
 
 // idField begins the line of an event that holds its ID.
@@ -235,7 +245,7 @@
 func (h *Handler) finished(a *answer, c *call, upstream *blackboard.Upstream) {
 	h.metrics.answered.WithLabelValues(statusClass(a.status)).Inc()
 	h.config.Logger.Info("answered", "request", c.ask.ID, "service", c.service, "replica", upstream.Instance.ID,
-		"status", a.status, "sends", c.sends, "arrivals", c.arrivals, "last_event", a.last,
+		"status", a.status, "sends", c.sends, "arrivals", c.arrivals, "last_event", string(a.last),
 		"elapsed", time.Since(c.arrived).Round(time.Millisecond))
 }
 
--- a/forward/bed_test.go
+++ b/forward/bed_test.go
@@ -29,6 +29,7 @@
 type bed struct {
 	is       *is.I
 	server   *httptest.Server
+	handler  http.Handler
 	routes   *routes.Table
 	upstream *blackboard.Upstreams
 	replicas []*replica.Replica
@@ -101,7 +102,7 @@
 }
 
 // newBed starts a handler before so many replicas.
-func newBed(t *testing.T, replicas int) *bed {
+func newBed(t testing.TB, replicas int) *bed {
 	t.Helper()
 	b := &bed{
 		is:       is.New(t),
@@ -152,6 +153,7 @@
 		Stopping:   b.closing.Load,
 		Logger:     slog.New(slog.DiscardHandler),
 	})
+	b.handler = handler
 	b.server = httptest.NewServer(handler)
 	t.Cleanup(b.server.Close)
 	return b
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -289,3 +291,144 @@
 	b.is.Equal(answer.status, http.StatusOK)
 	b.is.Equal(answer.header.Get("Zinniamast-Server-Stamp"), "stamp-i-a")
 }
+
+// raw sends bytes as they are and returns what comes back within a moment.
+func (b *bed) raw(text string) string {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+	b.is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, text)
+	b.is.NoErr(err)
+	b.is.NoErr(conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond)))
+	answer, _ := io.ReadAll(conn) // ends with the deadline where the connection stays
+	return string(answer)
+}
+
+// A caller sends what could be read in two ways: two lengths, a length beside
+// chunks, a header in the body of another request, no path. Nothing that was
+// smuggled in reaches a replica, and the caller hears a clear error.
+func TestMalformedRequests(t *testing.T) {
+	const head = "Host: models.example\r\nZinniamast-Request-Id: r-1\r\nApi-Key: " + key + "\r\n"
+	const hidden = "POST /pay/hidden HTTP/1.1\r\n" + head + "\r\n"
+	cases := map[string]struct {
+		text   string
+		status string
+		runs   int
+	}{
+		"two lengths":        {text: "POST /pay/x HTTP/1.1\r\n" + head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxy", status: "HTTP/1.1 400"},
+		"length and chunks":  {text: "POST /pay/x HTTP/1.1\r\n" + head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, status: "HTTP/1.1 200", runs: 1},
+		"hidden in the body": {text: "POST /pay/x HTTP/1.1\r\n" + head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(hidden)) + hidden, status: "HTTP/1.1 200", runs: 1},
+		"no path":            {text: "POST pay HTTP/1.1\r\n" + head + "\r\n", status: "HTTP/1.1 400"},
+		"odd header":         {text: "POST /pay/x HTTP/1.1\r\n" + head + "X: a\x00b\r\n\r\n", status: "HTTP/1.1 400"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 1)
+			answer := b.raw(c.text)
+			b.is.True(strings.HasPrefix(answer, c.status))
+			b.is.Equal(b.runs(), c.runs)
+			for _, run := range b.replicas[0].Runs() {
+				b.is.Equal(run.Target, "/pay/x")
+			}
+		})
+	}
+}
+
+// A caller sends half of a body and stops. Its time runs out, nothing has run,
+// and the connection is not used again.
+func TestSlowBody(t *testing.T) {
+	b := newBed(t, 1)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.server.URL, "http://"))
+	b.is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /pay/x HTTP/1.1\r\nHost: models.example\r\nZinniamast-Request-Id: r-1\r\nApi-Key: "+key+
+		"\r\nZinniamast-Deadline-Ms: 300\r\nContent-Length: 9\r\n\r\nhalf")
+	b.is.NoErr(err)
+	began := time.Now()
+	answer, err := io.ReadAll(conn) // to the connection's end
+	b.is.NoErr(err)
+	b.is.True(strings.HasPrefix(string(answer), "HTTP/1.1 400"))
+	b.is.True(time.Since(began) < time.Second)
+	b.is.Equal(b.runs(), 0)
+}
+
+// One request crashes each replica that runs it, and its caller sends it again
+// and again. After two crashes it reaches no replica, while others are served.
+func TestPoisonIsHeldBack(t *testing.T) {
+	b := newBed(t, 4)
+	b.all(replica.Behaviour{
+		Reset: true,
+	})
+	for range 8 {
+		b.do(b.request(http.MethodPost, pathPay, "poison"))
+	}
+	b.is.True(b.runs() <= 3)
+	b.all(replica.Behaviour{})
+	b.is.Equal(b.do(b.request(http.MethodPost, pathPay, "another")).status, http.StatusOK)
+}
+
+// script is a replica that streams events, one a read, without allocating.
+type script struct {
+	left int
+	head http.Header
+}
+
+var oneEvent = []byte("id: 7\ndata: some sixty bytes of text that stand for six tokens of an answer\n\n")
+
+func (s *script) Send(context.Context, *http.Request) (*http.Response, error) {
+	s.left = 1000
+	return &http.Response{
+		StatusCode: http.StatusOK,
+		Header:     s.head.Clone(),
+		Body:       io.NopCloser(s),
+	}, nil
+}
+
+func (s *script) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	s.left--
+	return copy(p, oneEvent), nil
+}
+
+func (s *script) Close() {}
+
+// sink is a caller that takes everything.
+type sink struct {
+	header http.Header
+}
+
+func (s *sink) Header() http.Header         { return s.header }
+func (s *sink) Write(p []byte) (int, error) { return len(p), nil }
+func (s *sink) WriteHeader(int)             {}
+func (s *sink) FlushError() error           { return nil }
+
+// BenchmarkStream passes a stream of 1,000 events on. Measured: 0.42 us and no
+// allocation an event; the 60 allocations are the request's own. Before, each
+// batch of events allocated its last ID and a response controller.
+func BenchmarkStream(b *testing.B) {
+	bed := newBed(b, 0)
+	bed.upstream.Add(&blackboard.Upstream{
+		Instance: zinniamast.Instance{
+			ID:      "i-1",
+			Service: "svc",
+			Started: time.UnixMilli(1),
+		},
+		Replica: &script{
+			head: http.Header{
+				"Zinniamast-Server-Stamp": {"s"},
+			},
+		},
+		Slots: 8,
+	})
+	request := bed.request(http.MethodPost, pathSay, "x")
+	request.RequestURI = pathSay
+	b.ReportAllocs()
+	for b.Loop() {
+		request.Body = io.NopCloser(strings.NewReader("x"))
+		bed.handler.ServeHTTP(&sink{
+			header: http.Header{},
+		}, request)
+	}
+}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -94,7 +94,10 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if h.config.Stopping() {
+	// A chunked request may have stated a length as well; net/http takes the
+	// chunks and hides the length. What follows on the connection is a request to
+	// one reader and a body to another, so that it is not read.
+	if h.config.Stopping() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	c, refusal := h.admit(r, arrived)
--- a/forward/run.go
+++ b/forward/run.go
@@ -57,7 +57,7 @@
 		}
 		h.metrics.again.WithLabelValues(string(failure.Failure)).Inc()
 		h.config.Logger.Warn("sent again", "request", c.ask.ID, "service", c.service, "replica", upstream.Instance.ID,
-			"failure", failure.Failure, "cause", failure.Cause, "sends", c.sends, "arrivals", c.arrivals, "after", a.last)
+			"failure", failure.Failure, "cause", failure.Cause, "sends", c.sends, "arrivals", c.arrivals, "after", string(a.last))
 	}
 }
 
@@ -136,7 +136,7 @@
 
 // exchange is one send and its answer.
 func (h *Handler) exchange(ctx context.Context, a *answer, c *call, upstream *blackboard.Upstream, started time.Time) *zinniamast.UpstreamError {
-	request, err := h.request(c, upstream, a.last)
+	request, err := h.request(c, upstream, string(a.last))
 	if err != nil {
 		return fail(upstream, zinniamast.FailureInvalid, err)
 	}
@@ -304,7 +304,7 @@
 	if a.began {
 		h.metrics.refused.WithLabelValues(string(zinniamast.ReasonAnswerCutShort)).Inc()
 		h.config.Logger.Warn("broken off", "request", c.ask.ID, "service", c.service, "reason", refusal.Reason,
-			"last_event", a.last, "sends", c.sends, "avoid", c.avoid, "elapsed", time.Since(c.arrived).Round(time.Millisecond))
+			"last_event", string(a.last), "sends", c.sends, "avoid", c.avoid, "elapsed", time.Since(c.arrived).Round(time.Millisecond))
 		panic(http.ErrAbortHandler)
 	}
 	if c.held != nil && ctx.Err() == nil {
--- a/strictjson/decode_test.go
+++ b/strictjson/decode_test.go
@@ -17,7 +17,7 @@
 		B []inner `json:"b"`
 	}
 	cases := map[string]string{
-		"{\"a\":1,\n\"a\":2}":         "line 2: a is given twice",
+		"{\"a\":1,\n\"a\":2}":           "line 2: a is given twice",
 		`{"b":[{"a":1},{"a":1,"a":2}]}`: "line 1: b.[1].a is given twice",
 	}
 	for document, want := range cases {
