--- a/forward/handler.go
+++ b/forward/handler.go
@@ -186,10 +186,19 @@
 		c.priority = *c.organisation.Priority
 	}
 	c.deadline = deadline(c, arrived)
-	c.prefix = prefix.Parts(c.ask.Parts)
+	c.prefix = prefix.Parts(shared(c.ask.Parts))
 	return c, nil
 }
 
+// shared leaves out a prompt's last part, which is the request's own.
+//
+// Load: requests of some hundred sessions come to all nodes. With their own part
+// in the prefix each has a home of its own, and a session's requests read their
+// shared parts again at one replica after the other.
+func shared(parts []prefix.Part) []prefix.Part {
+	return parts[:max(0, len(parts)-1)]
+}
+
 func hostOf(r *http.Request) string {
 	host, _, found := strings.Cut(r.Host, ":")
 	if found {
