Count a replica as gone at once where only its node was cut off

The grace now needs six tenths of a service's replicas to vanish together. TestRemovedDuringTheNodesOwnCut fails without it.

--- a/registry/follower.go
+++ b/registry/follower.go
@@ -238,6 +238,7 @@
 // Regained says that some changes are from a time when the store was away.
 func (f *Follower) take(changes ReplicaChanges, whole, regained bool) {
 	listed := map[string]bool{}
+	var vanished []string
 	for _, change := range changes.Changes {
 		listed[change.ID] = true
 		if change.Version <= f.seen[change.ID] {
@@ -246,21 +247,27 @@
 		f.seen[change.ID] = change.Version
 		f.shared.keep(change)
 		if change.Replica == nil {
-			f.vanished(change.ID, regained)
+			vanished = append(vanished, change.ID)
 			continue
 		}
 		f.appeared(change.Replica)
 	}
-	if !whole {
-		return
+	if whole {
+		vanished = append(vanished, f.unlisted(listed, changes.Position)...)
 	}
+	f.vanished(vanished, regained)
+}
+
+// unlisted returns known replicas that a whole list leaves out. A list from
+// before an entry's last change says nothing of it.
+func (f *Follower) unlisted(listed map[string]bool, position uint64) []string {
+	var missing []string
 	for _, u := range f.config.Upstreams.All() {
-		id := u.Instance.ID
-		// A list from before an entry's last change says nothing of it.
-		if !listed[id] && f.seen[id] <= changes.Position {
-			f.vanished(id, regained)
+		if id := u.Instance.ID; !listed[id] && f.seen[id] <= position {
+			missing = append(missing, id)
 		}
 	}
+	return missing
 }
 
 // appeared takes in an entry that names a replica.
@@ -320,27 +327,52 @@
 	}
 }
 
-// vanished takes in that an entry is no longer there.
+// lapsedPart is the part of a service's replicas that must vanish together
+// across a loss of the store to be taken for entries that lapsed. A reclaim
+// takes a failure domain, a quarter of them or a half.
+const lapsedPart = 0.6
+
+// vanished takes in that entries are no longer there.
 //
 // Failure: while the store is away live replicas cannot write to it and their
 // entries lapse; at its return a whole service seems to be gone, and every
-// request is refused. An entry that vanished before the store was regained has
-// therefore some time to come back. One that vanishes afterwards is gone now:
-// waiting with those would send new work to replicas that leave.
-func (f *Follower) vanished(id string, regained bool) {
-	if f.config.Upstreams.Get(id) == nil {
-		return
-	}
-	if _, ok := f.gone[id]; ok {
-		return
+// request is refused. Entries of most of a service that vanished before the
+// store was regained have therefore some time to come back. Others are gone
+// now: where only this node was cut off, nothing lapsed, and waiting would send
+// new work to replicas that left a moment ago. One that comes back after all is
+// taken in again.
+func (f *Follower) vanished(ids []string, regained bool) {
+	lost := map[string][]string{}
+	for _, id := range ids {
+		u := f.config.Upstreams.Get(id)
+		if _, gone := f.gone[id]; u != nil && !gone {
+			lost[u.Instance.Service] = append(lost[u.Instance.Service], id)
+		}
 	}
-	if !regained {
-		f.lose(id, time.Now())
-		return
+	now := time.Now()
+	for service, together := range lost {
+		lapsed := regained && float64(len(together)) >= lapsedPart*float64(f.present(service))
+		for _, id := range together {
+			if !lapsed {
+				f.lose(id, now)
+				continue
+			}
+			if _, ok := f.lapsed[id]; !ok {
+				f.lapsed[id] = now.Add(lapseGrace)
+			}
+		}
 	}
-	if _, ok := f.lapsed[id]; !ok {
-		f.lapsed[id] = time.Now().Add(lapseGrace)
+}
+
+// present counts a service's replicas that take work.
+func (f *Follower) present(service string) int {
+	count := 0
+	for _, u := range f.config.Upstreams.Of(service) {
+		if !u.Leaving() {
+			count++
+		}
 	}
+	return count
 }
 
 // lose counts a replica as gone.
--- a/registry/follower_test.go
+++ b/registry/follower_test.go
@@ -206,6 +206,28 @@
 	b.within(500*time.Millisecond, "gone", b.takesNone("i-1"))
 }
 
+// A node is cut off from the store for some seconds; the store is well. One
+// replica of four leaves by removing its entry just before the node is back.
+// For the node it vanished during a loss of the store, and all the same it is
+// gone at once: nothing lapsed, the other three stand.
+func TestRemovedDuringTheNodesOwnCut(t *testing.T) {
+	b := newBed(t)
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+		b.store.PutJSON("servers", id, ready(1))
+	}
+	b.within(time.Second, "replicas", b.takesWork("i-4"))
+	b.store.SetFault(store.Fault{
+		Status: http.StatusServiceUnavailable,
+	})
+	time.Sleep(2500 * time.Millisecond)
+	b.store.Remove("servers", "i-1")
+	b.store.SetFault(store.Fault{})
+	b.within(1200*time.Millisecond, "gone", b.takesNone("i-1"))
+	b.is.True(b.takesWork("i-2")())
+	b.store.PutJSON("servers", "i-1", ready(1))
+	b.within(time.Second, "back after all", b.takesWork("i-1"))
+}
+
 // The store drops its history, and a feed that is opened meanwhile hears
 // nothing while a replica leaves. The node must hear of it soon after.
 func TestDeafFeed(t *testing.T) {
