--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,8 +57,8 @@
 )
 
 const (
-	// headerTimeout and idleTimeout hold for callers until the configuration
-	// is known; they are the configuration's usual figures.
+	// headerTimeout and idleTimeout bound callers. They are the figures of every
+	// configuration seen so far; net/http cannot change them while it serves.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
 	// maxHeaderBytes bounds a caller's headers; net/http adds 4 KB of slack.
@@ -215,6 +215,11 @@
 		e.config.Logger.Warn("stopped with requests running", "cause", err)
 	}
 	e.members.Depart(ctx)
+	if err := e.peers.Close(ctx); err != nil {
+		e.config.Logger.Warn("peers left with calls running", "cause", err)
+	}
+	e.pool.Close()
+	e.follow.Close()
 	e.config.Logger.Info("stopped", "instance", e.config.Settings.Instance, "took", time.Since(began))
 }
 
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -212,10 +212,11 @@
 			changes, err = f.config.Source.FollowReplicas(ctx, p.at, f.wait())
 		}
 		if f.after(ctx, &p, err) {
-			p.at, p.known = max(p.at, changes.Position), true
 			if whole {
-				f.config.Logger.Info("replicas read whole", "entries", len(changes.Changes), "position", changes.Position, "before", p.at)
+				f.config.Logger.Info("replicas read whole", "entries", len(changes.Changes),
+					"position", changes.Position, "before", p.at)
 			}
+			p.at, p.known = max(p.at, changes.Position), true
 			f.take(changes, whole, p.regained)
 			f.ready.Store(true)
 			f.shared.heardReplicas(p.at, whole)
