--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -187,9 +187,10 @@
 		}),
 		Allowance: e.allowance,
 		Quarantine: quarantine.New(quarantine.Config{
-			Gossip:     e.members,
-			Logger:     e.config.Logger,
-			Registerer: e.registry,
+			FailureDomain: e.failureDomain,
+			Gossip:        e.members,
+			Logger:        e.config.Logger,
+			Registerer:    e.registry,
 		}),
 		Meter:      e.usage,
 		Demand:     e.demand,
@@ -211,6 +212,15 @@
 	}
 }
 
+// failureDomain returns where a replica runs, or "" if it is not known: the
+// quarantine tells a domain that goes as a whole from a request that crashes replicas.
+func (e *Entry) failureDomain(replica string) string {
+	if u := e.board.Upstreams.Get(replica); u != nil {
+		return u.Instance.FailureDomain
+	}
+	return ""
+}
+
 // nodes is how many entry instances there are, cut off ones included.
 func (e *Entry) nodes() int { return max(1, len(e.roster.Instances())) }
 
--- a/forward/bed_test.go
+++ b/forward/bed_test.go
@@ -145,13 +145,17 @@
 			Window: 10 * time.Second,
 			Nodes:  func() int { return 1 },
 		}),
-		Allowance:  b,
-		Quarantine: quarantine.New(quarantine.Config{}),
-		Meter:      b,
-		Demand:     b,
-		Closing:    b.closing.Load,
-		Stopping:   b.closing.Load,
-		Logger:     slog.New(slog.DiscardHandler),
+		Allowance: b,
+		// Each replica is a failure domain of its own.
+		// Each replica is a failure domain of its own.
+		Quarantine: quarantine.New(quarantine.Config{
+			FailureDomain: func(upstream string) string { return upstream },
+		}),
+		Meter:    b,
+		Demand:   b,
+		Closing:  b.closing.Load,
+		Stopping: b.closing.Load,
+		Logger:   slog.New(slog.DiscardHandler),
 	})
 	b.handler = handler
 	b.server = httptest.NewServer(handler)
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -135,7 +135,9 @@
 	priority    int
 	body        []byte
 	fingerprint uint64
-	prefix      []uint64
+	// alone says that the request is suspected of crashing its replicas.
+	alone  bool
+	prefix []uint64
 
 	// sends counts replicas that may have run the request, and avoid names
 	// those that it shall not go to again.
@@ -299,9 +301,11 @@
 
 // allow takes the request's amount from its organisation's allowance.
 func (h *Handler) allow(c *call) *zinniamast.Refusal {
-	if _, err := h.config.Quarantine.Check(c.fingerprint); err != nil {
+	alone, err := h.config.Quarantine.Check(c.fingerprint)
+	if err != nil {
 		return zinniamast.AsRefusal(err)
 	}
+	c.alone = alone
 	if c.organisation == nil || c.organisation.Rate <= 0 {
 		return nil
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -73,7 +73,8 @@
 		Deadline:            c.deadline,
 		FirstTokenTarget:    c.route.Target,
 		BetweenTokensTarget: c.route.PauseTarget,
-		Avoid:               c.avoid,
+		Avoid:               h.avoided(c),
+		Alone:               c.alone,
 	})
 	if err != nil {
 		return nil, zinniamast.AsRefusal(err)
@@ -90,6 +91,22 @@
 	return upstream, nil
 }
 
+// avoided is where the request shall not go. A suspect also stays away from
+// where replicas died under it: a second death there would tell nothing, and
+// takes with it what else has just come back.
+func (h *Handler) avoided(c *call) []string {
+	if !c.alone {
+		return c.avoid
+	}
+	var replicas []string
+	for _, u := range h.config.Upstreams.Of(c.service) {
+		if !u.Leaving() && !slices.Contains(c.avoid, u.Instance.ID) {
+			replicas = append(replicas, u.Instance.ID)
+		}
+	}
+	return append(slices.Clone(c.avoid), h.config.Quarantine.Apart(c.fingerprint, replicas)...)
+}
+
 // attempt sends the request to one replica and passes its answer on; nil means
 // that the caller has a whole answer.
 func (h *Handler) attempt(ctx context.Context, a *answer, c *call, upstream *blackboard.Upstream) *zinniamast.UpstreamError {
