Stop a reader from speaking for a store that it has lost

By the code: a reader that alone is cut off spoke for the store for three seconds after its last answer, and its failure domain heard of no leaving replica for up to 3.7 s; the bound is 2. Feeds now wait 1 s, a reader speaks for 1.3 s, and not at all after a failed call. TestReaderThatLosesTheStoreStopsSpeaking fails without it.

--- a/registry/follower.go
+++ b/registry/follower.go
@@ -17,9 +17,10 @@
 	//
 	// Failure: the store drops its history, and a feed that is opened meanwhile
 	// hears nothing for as long as it waits, while others hear of replicas that
-	// leave. Two seconds end that within the platform's bounds; each halving
-	// doubles the calls that an idle node makes, one a second now.
-	feedWait = 2 * time.Second
+	// leave. It also bounds how long a reader that has lost the store can speak
+	// for it unawares. A second keeps both within the platform's two; each
+	// halving doubles the calls of an idle reader, two a second now.
+	feedWait = time.Second
 	// minPause and maxPause bound the wait after a failed call.
 	minPause = 100 * time.Millisecond
 	maxPause = 800 * time.Millisecond
@@ -153,6 +154,7 @@
 		f.pause(ctx, minPause)
 		return false
 	}
+	f.shared.lost()
 	if p.pause == 0 {
 		f.config.Logger.Warn("store lost", "table", p.name, "cause", err)
 	}
--- a/registry/relayed_test.go
+++ b/registry/relayed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 
 	"zinniamast/registry"
 	"zinniamast/routes"
+	"zinniamast/standin/store"
 )
 
 // table is a Source and a Peer of fixed changes that counts how it is asked.
@@ -127,3 +130,28 @@
 	b.is.NoErr(err)
 	b.is.True(time.Since(began) >= 100*time.Millisecond)
 }
+
+// The reader alone loses the store, which turns it away or is silent. It stops
+// speaking for the store before a replica that leaves meanwhile must be known:
+// the peer, which waits for news, is told to ask the store itself.
+func TestReaderThatLosesTheStoreStopsSpeaking(t *testing.T) {
+	for name, fault := range map[string]store.Fault{
+		"turned away": {Status: http.StatusServiceUnavailable},
+		"silent":      {Hang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.store.PutJSON("servers", "i-0", ready(1))
+			b.within(time.Second, "replica", b.takesWork("i-0"))
+			told, err := b.follower.TellReplicas(context.Background(), 1, time.Second)
+			b.is.NoErr(err)
+			b.store.SetFault(fault)
+			began := time.Now()
+			for err == nil && time.Since(began) < 5*time.Second {
+				_, err = b.follower.TellReplicas(context.Background(), told.Position, 700*time.Millisecond)
+			}
+			b.is.True(errors.Is(err, registry.ErrStale))
+			b.is.True(time.Since(began) < 1600*time.Millisecond)
+		})
+	}
+}
--- a/registry/shared.go
+++ b/registry/shared.go
@@ -12,7 +12,11 @@
 
 // freshFor is how long after the store's last answer a node still speaks for
 // it: the longest wait of a feed and some time for the answer.
-const freshFor = feedWait + time.Second
+//
+// Failure: the reader alone is cut off from the store. Until it stops speaking
+// the whole failure domain hears of no replica that leaves; with this and one
+// call to the store they hear of it within the platform's two seconds.
+const freshFor = feedWait + 300*time.Millisecond
 
 // shared is what a node tells peers of the store's tables, in the store's own
 // positions. Its lock is held for microseconds.
@@ -88,15 +92,28 @@
 	s.changed = make(chan struct{})
 }
 
-// wait returns once a feed is beyond a position, or the time is up.
+// lost notes that the store does not answer, and wakes who waits for it.
+func (s *shared) lost() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replicas.at, s.config.at = time.Time{}, time.Time{}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// wait returns once a feed is beyond a position, the store is no longer heard,
+// or the time is up.
 func (s *shared) wait(ctx context.Context, h *heard, position uint64, wait time.Duration) {
+	s.mu.Lock()
+	wait = min(wait, max(0, freshFor-time.Since(h.at)))
+	s.mu.Unlock()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		beyond, changed := h.position > position, s.changed
+		done, changed := h.position > position || time.Since(h.at) > freshFor, s.changed
 		s.mu.Unlock()
-		if beyond {
+		if done {
 			return
 		}
 		select {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -28,6 +28,8 @@
 type Fault struct {
 	// Status answers every call with this status, and nothing is done.
 	Status int
+	// Hang answers no call until its caller leaves, feeds that wait included.
+	Hang bool
 	// LoseWrites does writes and closes the connection without an answer.
 	LoseWrites bool
 	// DeafFeeds lets feeds that are opened now hear nothing while they wait.
@@ -141,6 +143,10 @@
 		s.calls++
 		fault := s.fault
 		s.mu.Unlock()
+		if fault.Hang {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		if fault.Status != 0 {
 			w.WriteHeader(fault.Status)
 			return
@@ -284,6 +290,11 @@
 		case <-changed:
 		case <-timeout:
 			s.mu.Lock()
+			if s.fault.Hang {
+				s.mu.Unlock()
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
 			if deaf {
 				s.answerAt(w, since)
 			} else {
