Take the last change of an entry that lapsed and came back

At the store's return each entry's removal and its new writing came in one answer, the removal won, and after the grace both services were gone for 20 s (1,475 requests refused with no_upstream). The last change counts now. TestLapsedAndBackInOneAnswer fails without it.

--- a/registry/follower.go
+++ b/registry/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -241,6 +242,7 @@
 // Regained says that some changes are from a time when the store was away.
 func (f *Follower) take(changes ReplicaChanges, whole, regained bool) {
 	listed := map[string]bool{}
+	// Of an entry that lapsed and came back in one answer the last change counts.
 	var vanished []string
 	for _, change := range changes.Changes {
 		listed[change.ID] = true
@@ -253,6 +255,7 @@
 			vanished = append(vanished, change.ID)
 			continue
 		}
+		vanished = slices.DeleteFunc(vanished, func(id string) bool { return id == change.ID })
 		f.appeared(change.Replica)
 	}
 	if whole {
--- a/registry/follower_test.go
+++ b/registry/follower_test.go
@@ -188,6 +188,35 @@
 	b.is.True(b.takesWork("i-1")())
 }
 
+// While a node hears nothing of the store, every entry lapses and comes back.
+// Its first answer holds both changes of each, in order. The replicas take work
+// all the while: a service that is well must not be gone.
+func TestLapsedAndBackInOneAnswer(t *testing.T) {
+	b := newBed(t)
+	ids := []string{"i-1", "i-2", "i-3"}
+	for _, id := range ids {
+		b.store.PutJSON("servers", id, ready(1))
+	}
+	b.within(time.Second, "replicas", b.takesWork("i-3"))
+	b.store.SetFault(store.Fault{
+		Status: http.StatusServiceUnavailable,
+	})
+	time.Sleep(1500 * time.Millisecond)
+	for _, id := range ids {
+		b.store.Remove("servers", id)
+	}
+	for _, id := range ids {
+		b.store.PutJSON("servers", id, ready(1))
+	}
+	b.store.SetFault(store.Fault{})
+	for range 35 {
+		time.Sleep(100 * time.Millisecond)
+		for _, id := range ids {
+			b.is.True(b.takesWork(id)())
+		}
+	}
+}
+
 // The store is regained, and a moment later a replica leaves by removing its
 // entry. It is gone at once: the grace for lapsed entries is over with the
 // first answer, or new work would go to it for two seconds.
