--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -65,6 +65,4 @@
 	NotRun bool
 	// Elsewhere means that another instance answers at this address.
 	Elsewhere bool
-	// Leaving means that the replica takes no further request on the connection.
-	Leaving bool
 }
