Register all metrics through promauto

Change: all use promauto.With. rollout.New and peer.NewServer no longer return an error of a double registration; like the others they panic at the start, which is a programming error.

--- a/attempt/metrics.go
+++ b/attempt/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"zinniamast"
 )
@@ -23,25 +24,25 @@
 
 // NewMetrics registers the runner's metrics.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	factory := promauto.With(registerer)
 	m := &Metrics{
-		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+		retries: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_attempt_failures_total",
 			Help: "Attempts at model replicas that ended without a whole answer, by failure.",
 		}, []string{"failure"}),
-		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+		failures: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_requests_failed_total",
 			Help: "Accepted model requests that ended in a refusal, by reason and whether they ran.",
 		}, []string{"reason", "ran"}),
-		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+		moves: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_moves_total",
 			Help: "Running requests taken off a leaving replica, by way.",
 		}, []string{"way"}),
 	}
-	m.recomputed = prometheus.NewCounter(prometheus.CounterOpts{
+	m.recomputed = factory.NewCounter(prometheus.CounterOpts{
 		Name: "zinniamast_recomputed_tokens_total",
 		Help: "Prompt and answer tokens computed again because an attempt ended early, at the most: caches may spare a part.",
 	})
-	registerer.MustRegister(m.retries, m.failures, m.moves, m.recomputed)
 	for failure := range zinniamast.FailureOutcomes {
 		m.retries.WithLabelValues(string(failure))
 	}
--- a/caller/metrics.go
+++ b/caller/metrics.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"zinniamast"
 )
@@ -17,22 +18,22 @@
 
 // NewMetrics registers the callers' metrics, each refusal reason with zero.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
+	factory := promauto.With(registerer)
 	m := &Metrics{
-		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+		refusals: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_refusals_total",
 			Help: "Refusals of model requests, by reason and whether the request ran.",
 		}, []string{"reason", "ran"}),
-		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+		answers: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_answers_total",
 			Help: "Whole answers delivered, by model.",
 		}, []string{"model"}),
-		firstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		firstToken: factory.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "zinniamast_first_token_seconds",
 			Help:    "Wait from acceptance to the first token, by class.",
 			Buckets: []float64{.01, .05, .1, .2, .3, .4, .6, 1, 2, 5, 10},
 		}, []string{"class"}),
 	}
-	registerer.MustRegister(m.refusals, m.answers, m.firstToken)
 	for _, reason := range zinniamast.Reasons() {
 		m.refusals.WithLabelValues(string(reason), string(zinniamast.NotRun))
 	}
--- a/capacity/metrics.go
+++ b/capacity/metrics.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 type metrics struct {
 	starts   *prometheus.CounterVec
@@ -27,46 +30,44 @@
 )
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
+	factory := promauto.With(registerer)
 	m := &metrics{
-		starts: prometheus.NewCounterVec(prometheus.CounterOpts{
+		starts: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_capacity_starts_total",
 			Help: "Instances bought, by failure domain and market.",
 		}, []string{"failure_domain", "market"}),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+		refused: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_capacity_refused_total",
 			Help: "Starts that the cloud refused, by failure domain and market.",
 		}, []string{"failure_domain", "market"}),
-		stops: prometheus.NewCounter(prometheus.CounterOpts{
+		stops: factory.NewCounter(prometheus.CounterOpts{
 			Name: "zinniamast_capacity_stops_total",
 			Help: "Instances returned.",
 		}),
-		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+		orders: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_capacity_orders_total",
 			Help: "Orders sent to engines, by action.",
 		}, []string{"action"}),
-		waits: prometheus.NewCounterVec(prometheus.CounterOpts{
+		waits: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_capacity_waits_total",
 			Help: "Actions put off to a later round, by reason.",
 		}, []string{"reason"}),
-		unmet: prometheus.NewGauge(prometheus.GaugeOpts{
+		unmet: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "zinniamast_capacity_unmet_services",
 			Help: "Services that would not survive the loss of a failure domain.",
 		}),
-		costs: prometheus.NewGauge(prometheus.GaugeOpts{
+		costs: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "zinniamast_capacity_cost_per_hour",
 			Help: "Price of all instances that take work, per hour.",
 		}),
-		rounds: prometheus.NewCounter(prometheus.CounterOpts{
+		rounds: factory.NewCounter(prometheus.CounterOpts{
 			Name: "zinniamast_capacity_rounds_total",
 			Help: "Rounds of the controller while it held the lease.",
 		}),
-		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+		failures: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_capacity_failures_total",
 			Help: "Steps of a round that failed, by step.",
 		}, []string{"step"}),
 	}
-	if registerer != nil {
-		registerer.MustRegister(m.starts, m.refused, m.stops, m.orders, m.waits, m.unmet, m.costs, m.rounds, m.failures)
-	}
 	return m
 }
--- a/claims/metrics.go
+++ b/claims/metrics.go
@@ -1,6 +1,9 @@
 package claims
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 // metrics counts what became of claims.
 type metrics struct {
@@ -36,20 +39,21 @@
 	objectOrphaned, objectRead, objectMissed, objectForeign}
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
+	factory := promauto.With(registerer)
 	m := &metrics{
-		begun: prometheus.NewCounterVec(prometheus.CounterOpts{
+		begun: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_claims_begun_total",
 			Help: "Claims asked for, by result.",
 		}, []string{"result"}),
-		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+		ended: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_claims_ended_total",
 			Help: "Claims ended by this node, by state.",
 		}, []string{"state"}),
-		unsaved: prometheus.NewGauge(prometheus.GaugeOpts{
+		unsaved: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "zinniamast_claims_unsaved",
 			Help: "Outcomes that wait for the table.",
 		}),
-		objects: prometheus.NewCounterVec(prometheus.CounterOpts{
+		objects: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_claims_objects_total",
 			Help: "Answers above the table's bound, written and read, by result.",
 		}, []string{"result"}),
@@ -63,8 +67,5 @@
 	for _, result := range objectResults {
 		m.objects.WithLabelValues(result)
 	}
-	if registerer != nil {
-		registerer.MustRegister(m.begun, m.ended, m.unsaved, m.objects)
-	}
 	return m
 }
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -1,6 +1,9 @@
 package forward
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 // metrics counts what becomes of requests.
 type metrics struct {
@@ -14,27 +17,25 @@
 var firstBuckets = []float64{.01, .03, .1, .2, .4, .8, 1.6, 3.2, 6.4}
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
+	factory := promauto.With(registerer)
 	m := &metrics{
-		answered: prometheus.NewCounterVec(prometheus.CounterOpts{
+		answered: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_forward_answered_total",
 			Help: "Requests answered by a replica, by the class of the status.",
 		}, []string{"status"}),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+		refused: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_forward_refused_total",
 			Help: "Requests that the node ended itself, by reason.",
 		}, []string{"reason"}),
-		again: prometheus.NewCounterVec(prometheus.CounterOpts{
+		again: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_forward_again_total",
 			Help: "Requests sent again, by how the send before failed.",
 		}, []string{"failure"}),
-		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+		first: factory.NewHistogram(prometheus.HistogramOpts{
 			Name:    "zinniamast_forward_first_seconds",
 			Help:    "Time from a request's arrival to the first byte of its answer.",
 			Buckets: firstBuckets,
 		}),
 	}
-	if registerer != nil {
-		registerer.MustRegister(m.answered, m.refused, m.again, m.first)
-	}
 	return m
 }
--- a/limits/metrics.go
+++ b/limits/metrics.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"zinniamast"
 )
@@ -26,8 +27,9 @@
 }
 
 func newMetrics(registerer prometheus.Registerer, memory *atomic.Int64) *metrics {
+	factory := promauto.With(registerer)
 	m := &metrics{
-		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+		decisions: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_limits_decisions_total",
 			Help: "Requests let in, or refused by reason.",
 		}, []string{"decision"}),
@@ -36,12 +38,9 @@
 	for _, reason := range refusalReasons {
 		m.decisions.WithLabelValues(string(reason))
 	}
-	held := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	factory.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "zinniamast_limits_memory_bytes",
 		Help: "Bytes of prompts and partial answers held.",
 	}, func() float64 { return float64(memory.Load()) })
-	if registerer != nil {
-		registerer.MustRegister(m.decisions, held)
-	}
 	return m
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 )
 
 // Limits that hold where the configuration leaves a field zero.
@@ -87,7 +88,7 @@
 			RolePeer:     rpc.NewServer(),
 			RoleOperator: rpc.NewServer(),
 		},
-		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+		refusals: promauto.With(config.Registerer).NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_peer_connections_refused_total",
 			Help: "Connections refused on the peer listener, by reason.",
 		}, []string{"reason"}),
@@ -95,12 +96,6 @@
 		conns:      map[*limitedConn]bool{},
 	}
 	s.SetKeys(config.PeerKeys, config.OperatorKeys)
-	if config.Registerer != nil {
-		if err := config.Registerer.Register(s.refusals); err != nil {
-			_ = listener.Close()
-			return nil, merry.Prepend(err, "peer server")
-		}
-	}
 	return s, nil
 }
 
--- a/retry/metrics.go
+++ b/retry/metrics.go
@@ -1,6 +1,9 @@
 package retry
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 // Decisions as metric labels.
 const (
@@ -12,15 +15,13 @@
 )
 
 func newDecisions(registerer prometheus.Registerer) *prometheus.CounterVec {
-	decisions := prometheus.NewCounterVec(prometheus.CounterOpts{
+	factory := promauto.With(registerer)
+	decisions := factory.NewCounterVec(prometheus.CounterOpts{
 		Name: "zinniamast_retry_decisions_total",
 		Help: "Decisions about retries and hedges.",
 	}, []string{"decision"})
 	for _, decision := range []string{decisionAllowed, decisionFree, decisionRefused, decisionHedged, decisionHedgeDenied} {
 		decisions.WithLabelValues(decision)
 	}
-	if registerer != nil {
-		registerer.MustRegister(decisions)
-	}
 	return decisions
 }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"zinniamast"
 	"zinniamast/blackboard"
@@ -81,29 +81,27 @@
 	if config.Joined == nil {
 		config.Joined = func() bool { return true }
 	}
+	factory := promauto.With(config.Registerer)
 	r := &Rollout{
 		config: config,
 		store: store{
 			table: config.Table,
 		},
-		applied: prometheus.NewCounterVec(prometheus.CounterOpts{
+		applied: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_config_applied_total",
 			Help: "Configuration versions put in force, by where they came from.",
 		}, []string{"source"}),
 		started: time.Now(),
 	}
-	if config.Registerer == nil {
-		return r, nil
-	}
-	version := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	factory.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "zinniamast_config_version",
 		Help: "Number of the configuration version in force.",
 	}, func() float64 { return float64(r.Number()) })
-	age := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	factory.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "zinniamast_config_unconfirmed_seconds",
 		Help: "Time since the table confirmed that no newer version is accepted.",
 	}, func() float64 { return r.unconfirmed().Seconds() })
-	return r, errors.Join(config.Registerer.Register(r.applied), config.Registerer.Register(version), config.Registerer.Register(age))
+	return r, nil
 }
 
 // Number returns the number of the version in force, zero before the first.
--- a/routing/metrics.go
+++ b/routing/metrics.go
@@ -1,6 +1,9 @@
 package routing
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 // What happened to a circuit, as a metric label.
 const (
@@ -18,16 +21,17 @@
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
+	factory := promauto.With(registerer)
 	m := &metrics{
-		choices: prometheus.NewCounterVec(prometheus.CounterOpts{
+		choices: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_routing_choices_total",
 			Help: "Choices of an upstream, by what decided.",
 		}, []string{"reason"}),
-		circuits: prometheus.NewCounterVec(prometheus.CounterOpts{
+		circuits: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_routing_circuits_total",
 			Help: "Circuits opened, kept closed by the cap, and heard of from other nodes.",
 		}, []string{"event"}),
-		polls: prometheus.NewCounterVec(prometheus.CounterOpts{
+		polls: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_routing_polls_total",
 			Help: "Load reports and cache events read, by outcome.",
 		}, []string{"outcome"}),
@@ -38,9 +42,6 @@
 	} {
 		m.byReason[reason] = m.choices.WithLabelValues(reason)
 	}
-	if registerer != nil {
-		registerer.MustRegister(m.choices, m.circuits, m.polls)
-	}
 	return m
 }
 
--- a/services/metrics.go
+++ b/services/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"zinniamast"
 )
@@ -27,20 +28,21 @@
 )
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
+	factory := promauto.With(registerer)
 	m := &metrics{
-		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+		refusals: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_service_refusals_total",
 			Help: "Refusals of service calls, by reason and whether the call ran.",
 		}, []string{"reason", "ran"}),
-		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+		retries: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_service_retries_total",
 			Help: "Attempts at service calls after a failed one, by failure.",
 		}, []string{"failure"}),
-		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+		answers: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_service_answers_total",
 			Help: "Whole answers of services, by service.",
 		}, []string{"service"}),
-		hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
+		hedges: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_hedges_total",
 			Help: "Late idempotent calls by what was decided, and hedges by how their call ended.",
 		}, []string{"decision"}),
@@ -54,9 +56,6 @@
 	for failure := range zinniamast.FailureOutcomes {
 		m.retries.WithLabelValues(string(failure))
 	}
-	if registerer != nil {
-		registerer.MustRegister(m.refusals, m.retries, m.answers, m.hedges)
-	}
 	return m
 }
 
--- a/tablebudget/metrics.go
+++ b/tablebudget/metrics.go
@@ -1,6 +1,9 @@
 package tablebudget
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
 
 // Reasons of refusals and retries, as metric labels.
 const (
@@ -24,33 +27,34 @@
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
+	factory := promauto.With(registerer)
 	m := &metrics{
-		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
+		reads: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_table_reads_total",
 			Help: "Read calls to the platform's table, by role.",
 		}, []string{"role"}),
-		writes: prometheus.NewCounterVec(prometheus.CounterOpts{
+		writes: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_table_written_items_total",
 			Help: "Items sent to the platform's table, by role.",
 		}, []string{"role"}),
-		batch: prometheus.NewHistogram(prometheus.HistogramOpts{
+		batch: factory.NewHistogram(prometheus.HistogramOpts{
 			Name:    "zinniamast_table_batch_items",
 			Help:    "Items per write call; the count is the number of write calls.",
 			Buckets: []float64{1, 2, 5, 10, 25, 50, 100},
 		}),
-		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+		retries: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_table_retries_total",
 			Help: "Writes sent again, by reason.",
 		}, []string{"reason"}),
-		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+		refusals: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_table_refusals_total",
 			Help: "Calls refused on this node before they were sent, by reason.",
 		}, []string{"reason"}),
-		resolved: prometheus.NewCounter(prometheus.CounterOpts{
+		resolved: factory.NewCounter(prometheus.CounterOpts{
 			Name: "zinniamast_table_resolved_total",
 			Help: "Writes whose lost answer was resolved by reading.",
 		}),
-		available: prometheus.NewGauge(prometheus.GaugeOpts{
+		available: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "zinniamast_table_available",
 			Help: "1 while the platform's table answers, 0 while it is out.",
 		}),
@@ -62,9 +66,6 @@
 	for _, reason := range []string{refusedUnavailable, refusedBudget, refusedQueue} {
 		m.refusals.WithLabelValues(reason)
 	}
-	if registerer != nil {
-		registerer.MustRegister(m.reads, m.writes, m.batch, m.retries, m.refusals, m.resolved, m.available)
-	}
 	return m
 }
 
