Place prompts by what replicas report, read once a failure domain

Change: package reports: one node of each failure domain asks its replicas each 0.3 s and tells the others; routing knows slots, plain services and the route's longest pause.

What is told grows with the replicas of a domain and must be thinned at 400 of them; not built.

--- a/demand/demand.go
+++ b/demand/demand.go
@@ -169,6 +169,16 @@
 	return sum
 }
 
+// MeanPrompt returns the mean length of a service's prompts in tokens; zero
+// while none came.
+func (d *Demand) MeanPrompt(service string) float64 {
+	load := d.Of(service)
+	if load.Arrivals == 0 {
+		return 0
+	}
+	return load.Prompt / load.Arrivals
+}
+
 // Run tells the other nodes until ctx ends.
 func (d *Demand) Run(ctx context.Context) {
 	for {
--- a/engine.go
+++ b/engine.go
@@ -88,6 +88,9 @@
 	Running int `json:"running"`
 	// Waiting is the number of sequences queued.
 	Waiting int `json:"waiting"`
+	// Prefilling is how many of those running have made no token yet, where the
+	// engine tells.
+	Prefilling int `json:"prefilling"`
 	// QueuedTokens is the number of prompt tokens not yet computed.
 	QueuedTokens int `json:"queued_tokens"`
 	// Models are the models, adapters and versions loaded now.
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -45,6 +45,9 @@
 		Gossip: e.members,
 		Nodes:  e.nodes,
 	})
+	if err := e.shareReports(); err != nil {
+		return err
+	}
 	e.routeRequests()
 	e.takeDuties()
 	e.serveCallers()
@@ -151,11 +154,19 @@
 		FailureDomain: s.FailureDomain,
 		Gossip:        e.members,
 		HomeCost:      homeCost,
+		Plain:         e.isPlain,
 		Logger:        e.config.Logger,
 		Registerer:    e.registry,
 	})
 	e.router = predicted
 	e.runRouter = predicted.Run
+	e.reported = predicted.Reported
+}
+
+// isPlain says whether a service runs no model.
+func (e *Entry) isPlain(service string) bool {
+	current := e.routes.Current()
+	return current != nil && current.Services[service].Engine == nil
 }
 
 // dutyRank is how many nodes are to follow a dead holder before this one.
@@ -232,6 +243,7 @@
 		e.borrow,
 		e.members.Run,
 		e.demand.Run,
+		e.reports.Run,
 		e.allowance.Run,
 		e.usage.Run,
 		e.lease.Run,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,6 +27,7 @@
 	"zinniamast/peer"
 	"zinniamast/platform"
 	"zinniamast/registry"
+	"zinniamast/reports"
 	"zinniamast/roster"
 	"zinniamast/routes"
 	"zinniamast/scaling"
@@ -81,18 +82,21 @@
 	board     *blackboard.Board
 	router    zinniamast.Router
 	runRouter func(context.Context)
-	table     zinniamast.Table
-	clock     *clock.Clock
-	follower  *registry.Follower
-	roster    *roster.Roster
-	peers     *peer.Server
-	pool      *peer.Pool
+	// reported tells the policy a replica's load; nil if it asks for none.
+	reported func(replica string, report zinniamast.LoadReport)
+	table    zinniamast.Table
+	clock    *clock.Clock
+	follower *registry.Follower
+	roster   *roster.Roster
+	peers    *peer.Server
+	pool     *peer.Pool
 	// follow carries calls that wait, apart from heartbeats and quick calls.
 	follow    *peer.Pool
 	members   *membership.Membership
 	demand    *demand.Demand
 	pools     *limits.Pool
 	allowance *limits.Allowance
+	reports   *reports.Sharer
 	usage     *usage.Counter
 	lease     *lease.Lease
 	reporter  *usage.Reporter
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -100,10 +100,23 @@
 	return told.Change, errors.Join(err, told.Refused.err())
 }
 
-// domainReader returns the node that follows the store for this failure
-// domain: the one with the highest hash among those that live. Nodes that
-// disagree for a moment each follow whom they see; none is needed for safety.
+// domainReader returns the node that follows the store for this failure domain;
+// nil means this node.
 func (e *Entry) domainReader() registry.Peer {
+	if address := e.readerAddress(); address != "" {
+		return reader{
+			entry:   e,
+			address: address,
+		}
+	}
+	return nil
+}
+
+// readerAddress returns where the node is that reads for this failure domain:
+// the one with the highest hash among those that live; empty means this node.
+// Nodes that disagree for a moment each follow whom they see; none is needed
+// for safety.
+func (e *Entry) readerAddress() string {
 	s := e.config.Settings
 	best, highest := blackboard.Member{}, xxh3.HashString(s.Instance)
 	for _, member := range e.board.Members.All() {
@@ -114,11 +127,5 @@
 			best, highest = member, hash
 		}
 	}
-	if best.ID == "" {
-		return nil
-	}
-	return reader{
-		entry:   e,
-		address: best.Address,
-	}
+	return best.Address
 }
--- /dev/null
+++ b/entry/reports.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+
+	"zinniamast"
+	"zinniamast/platform"
+	"zinniamast/reports"
+)
+
+// reportsName is the name under which nodes tell each other replicas' reports.
+const reportsName = "Reports"
+
+// shareReports builds what knows the replicas' load.
+func (e *Entry) shareReports() error {
+	s := e.config.Settings
+	e.reports = reports.New(reports.Config{
+		FailureDomain:  s.FailureDomain,
+		FailureDomains: s.FailureDomains,
+		Upstreams:      e.board.Upstreams,
+		Source:         platform.Reports{},
+		Reader:         e.reportReader,
+		Contact:        e.reportContact,
+		Plain:          e.isPlain,
+		MeanPrompt:     e.demand.MeanPrompt,
+		Hear:           e.heardReport,
+		Logger:         e.config.Logger,
+	})
+	return e.peers.RegisterPeer(reportsName, &ReportTeller{sharer: e.reports})
+}
+
+// heardReport passes a report on to the policy, if it takes them.
+func (e *Entry) heardReport(replica string, report zinniamast.LoadReport) {
+	if e.reported != nil {
+		e.reported(replica, report)
+	}
+}
+
+// reportReader returns the node that reads for this failure domain; nil means this node.
+func (e *Entry) reportReader() reports.Peer {
+	if address := e.readerAddress(); address != "" {
+		return teller{
+			entry:   e,
+			address: address,
+		}
+	}
+	return nil
+}
+
+// reportContact returns any living node of another failure domain.
+func (e *Entry) reportContact(failureDomain string) reports.Peer {
+	for _, member := range e.board.Members.All() {
+		if member.FailureDomain == failureDomain && !member.Dead && !member.Leaving {
+			return teller{
+				entry:   e,
+				address: member.Address,
+			}
+		}
+	}
+	return nil
+}
+
+// ReportTeller answers other nodes.
+type ReportTeller struct {
+	sharer *reports.Sharer
+}
+
+// Since answers the reports after a position.
+func (t *ReportTeller) Since(ask reports.Ask, reply *reports.Told) error {
+	*reply = t.sharer.Tell(context.Background(), ask)
+	return nil
+}
+
+// teller is another node as a reports.Peer.
+type teller struct {
+	entry   *Entry
+	address string
+}
+
+var _ reports.Peer = teller{}
+
+// TellReports implements reports.Peer.
+func (t teller) TellReports(ctx context.Context, ask reports.Ask) (reports.Told, error) {
+	var told reports.Told
+	err := t.entry.follow.Call(ctx, t.address, reportsName+".Since", ask, &told)
+	return told, err
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -148,6 +148,8 @@
 		Tokens:       events,
 		Prefix:       c.prefix,
 		Failure:      failure,
+
+		BetweenTokensTarget: c.route.PauseTarget,
 	})
 }
 
--- a/policy.go
+++ b/policy.go
@@ -91,6 +91,9 @@
 	Tokens       int
 	// Prefix holds hashes of the prompt's leading blocks, shortest first.
 	Prefix []uint64
+	// BetweenTokensTarget is the request's own, set at ObservedStart; zero means
+	// that the configuration's holds.
+	BetweenTokensTarget time.Duration
 	// Failure is how the attempt failed; empty for a whole answer.
 	Failure Failure
 }
--- /dev/null
+++ b/reports/reports_test.go
@@ -0,0 +1,231 @@
+package reports_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+	"zinniamast/reports"
+)
+
+// replicas answers for all replicas and counts the questions.
+type replicas struct {
+	mu      sync.Mutex
+	running int
+	asked   map[string]int
+	silent  bool
+}
+
+func (r *replicas) Load(ctx context.Context, u *blackboard.Upstream) (zinniamast.LoadReport, error) {
+	r.mu.Lock()
+	silent := r.silent
+	r.asked[u.Instance.ID]++
+	running := r.running
+	r.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return zinniamast.LoadReport{}, ctx.Err()
+	}
+	return zinniamast.LoadReport{
+		Running:    running,
+		Waiting:    2,
+		Prefilling: 1,
+	}, nil
+}
+
+func (r *replicas) set(running int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running = running
+}
+
+// node is one node of a small deployment.
+type node struct {
+	domain string
+	sharer *reports.Sharer
+	dead   atomic.Bool
+
+	mu    sync.Mutex
+	heard map[string]zinniamast.LoadReport
+}
+
+func (n *node) hear(replica string, report zinniamast.LoadReport) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.heard[replica] = report
+}
+
+func (n *node) knows(replica string) zinniamast.LoadReport {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.heard[replica]
+}
+
+// deployment is some nodes in two failure domains, with a replica in each.
+type deployment struct {
+	nodes    []*node
+	replicas *replicas
+}
+
+var errDead = errors.New("no answer")
+
+// TellReports implements reports.Peer.
+func (n *node) TellReports(ctx context.Context, ask reports.Ask) (reports.Told, error) {
+	if n.dead.Load() {
+		<-ctx.Done()
+		return reports.Told{}, errDead
+	}
+	return n.sharer.Tell(ctx, ask), nil
+}
+
+// first returns the first living node of a failure domain.
+func (d *deployment) first(domain string) *node {
+	for _, n := range d.nodes {
+		if n.domain == domain && !n.dead.Load() {
+			return n
+		}
+	}
+	return nil
+}
+
+func newDeployment(ctx context.Context, each int) *deployment {
+	d := &deployment{
+		replicas: &replicas{
+			asked: map[string]int{},
+		},
+	}
+	board := blackboard.New()
+	domains := []string{"burnaby-a", "surrey-b"}
+	for _, domain := range domains {
+		board.Upstreams.Add(&blackboard.Upstream{
+			Instance: zinniamast.Instance{
+				ID:            "replica-" + domain,
+				FailureDomain: domain,
+				Service:       "models",
+			},
+		})
+	}
+	for i := range 2 * each {
+		n := &node{
+			domain: domains[i%2],
+			heard:  map[string]zinniamast.LoadReport{},
+		}
+		n.sharer = reports.New(reports.Config{
+			FailureDomain:  n.domain,
+			FailureDomains: domains,
+			Upstreams:      board.Upstreams,
+			Source:         d.replicas,
+			Reader: func() reports.Peer {
+				if reader := d.first(n.domain); reader != nil && reader != n {
+					return reader
+				}
+				return nil
+			},
+			Contact: func(domain string) reports.Peer {
+				if contact := d.first(domain); contact != nil {
+					return contact
+				}
+				return nil
+			},
+			Plain:      func(string) bool { return false },
+			MeanPrompt: func(string) float64 { return 1000 },
+			Hear:       n.hear,
+		})
+		d.nodes = append(d.nodes, n)
+	}
+	for _, n := range d.nodes {
+		go n.sharer.Run(ctx)
+	}
+	return d
+}
+
+// Callers wait at full replicas while others are idle, since no node knows what
+// the others have sent there. Each replica is asked by one node only, and
+// within half a second every node of both failure domains knows.
+func TestEveryNodeKnowsAndOneAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDeployment(ctx, 4)
+		time.Sleep(3 * time.Second)
+		d.replicas.set(7)
+		time.Sleep(500 * time.Millisecond)
+		for _, n := range d.nodes {
+			for _, replica := range []string{"replica-burnaby-a", "replica-surrey-b"} {
+				report := n.knows(replica)
+				check.Equal(report.Running, 7)
+				check.Equal(report.QueuedTokens, 2500)
+				check.True(time.Since(report.At) < 600*time.Millisecond)
+			}
+		}
+		cancel()
+		synctest.Wait()
+		check.True(d.replicas.asked["replica-burnaby-a"] <= 13) // 3.5 s at one each 0.3 s
+	})
+}
+
+// The reader of a failure domain is killed: the others go on choosing replicas
+// by what it said last. The next node reads within two seconds, and nobody
+// takes an older report for a newer one.
+func TestReaderDies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDeployment(ctx, 3)
+		time.Sleep(2 * time.Second)
+		d.nodes[0].dead.Store(true)
+		d.replicas.set(9)
+		time.Sleep(2 * time.Second)
+		for _, n := range d.nodes[1:] {
+			check.Equal(n.knows("replica-burnaby-a").Running, 9)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Replicas go silent: questions end by their timeout, and what was known is not
+// told as if it were new.
+func TestSilentReplicasTellNothingNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDeployment(ctx, 2)
+		time.Sleep(2 * time.Second)
+		d.replicas.mu.Lock()
+		d.replicas.silent = true
+		d.replicas.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		for _, n := range d.nodes {
+			check.True(time.Since(n.knows("replica-surrey-b").At) > 3*time.Second)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A report that comes late through another node undoes nothing newer.
+func TestOlderReportIsDropped(t *testing.T) {
+	check := is.New(t)
+	board := reports.NewBoard()
+	check.Equal(len(board.Put([]reports.Report{{
+		Replica: "a",
+		Running: 5,
+	}})), 1)
+	check.Equal(len(board.Put([]reports.Report{{
+		Replica: "a",
+		Running: 1,
+		Age:     time.Second,
+	}})), 0)
+	told := board.Since(t.Context(), "", 0, 0)
+	check.Equal(told.Reports[0].Running, 5)
+	check.Equal(len(board.Since(t.Context(), "", told.Position, 0).Reports), 0)
+}
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -134,8 +134,9 @@
 		r.forget(known)
 	}
 	r.serial++
-	fresh := newReplica(upstream, r.serial, r.distance(upstream.Instance.FailureDomain))
-	fresh.speed = r.speed(upstream)
+	plain := r.isPlain(upstream)
+	fresh := newReplica(upstream, r.serial, r.distance(upstream.Instance.FailureDomain), plain)
+	fresh.speed = r.speed(upstream, plain)
 	fresh.price = r.price(upstream)
 	r.replicas[id] = fresh
 	r.bySerial[fresh.serial] = fresh
@@ -143,6 +144,18 @@
 	return fresh
 }
 
+// isPlain says whether a replica answers calls, whose time depends on how many
+// run there, and not prompts.
+func (r *Router) isPlain(upstream *blackboard.Upstream) bool {
+	if upstream.Engine != nil {
+		return false
+	}
+	if upstream.Service != nil {
+		return true
+	}
+	return r.config.Plain != nil && r.config.Plain(upstream.Instance.Service)
+}
+
 // forget drops a replica that the blackboard no longer has.
 func (r *Router) forget(old *replica) {
 	delete(r.replicas, old.id)
--- a/routing/limit.go
+++ b/routing/limit.go
@@ -7,10 +7,29 @@
 // nearly full, multiplicative decrease when it does not. The learned curve
 // says the same sooner; this guards against a curve that is wrong.
 type limit struct {
-	most    float64
+	most float64
+	// slots is the most that the replica runs at once; the rest waits there.
+	slots   float64
 	lowered time.Time
 }
 
+// newLimit returns the limit of a replica that runs so many requests at once;
+// zero where it does not say.
+//
+// Failure: a replica of sixteen slots is trusted with 32 sequences; half of them
+// wait there past their latency target while other replicas have free slots.
+func newLimit(slots int) limit {
+	l := limit{
+		most:  initialLimit,
+		slots: maxLimit,
+	}
+	if slots > 0 {
+		l.slots = float64(slots)
+		l.most = min(l.most, l.slots)
+	}
+	return l
+}
+
 const (
 	initialLimit = 32
 	minLimit     = 2
@@ -30,7 +49,7 @@
 	}
 	if between <= target {
 		if running >= limitFull*l.most {
-			l.most = min(maxLimit, l.most+1)
+			l.most = min(l.slots, l.most+1)
 		}
 		return
 	}
--- a/routing/observe.go
+++ b/routing/observe.go
@@ -22,6 +22,8 @@
 	// running were the sequences at the start, this one included.
 	running float64
 	known   match
+	// betweenTarget is the request's own, in seconds; zero means the service's.
+	betweenTarget float64
 	// held is what the history made believe to be cached, and home means that
 	// the replica is a home of the prompt.
 	held int
@@ -70,6 +72,8 @@
 		known:    known,
 		held:     held,
 		home:     r.isHome(p),
+
+		betweenTarget: o.BetweenTokensTarget.Seconds(),
 	}
 	r.attempts[o.Attempt] = a
 	p.own.running++
@@ -148,7 +152,11 @@
 	between := now.Sub(a.first).Seconds() / float64(o.Tokens-1)
 	batch := (a.running + running) / 2
 	p.learnBetween(batch, between)
-	p.limit.learn(between, r.betweenTarget(a.service), batch, now)
+	target := a.betweenTarget
+	if target == 0 {
+		target = r.betweenTarget(a.service)
+	}
+	p.limit.learn(between, target, batch, now)
 }
 
 // learnStopped takes in the time of a call that this node stopped, if that is
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -38,21 +38,19 @@
 	polled time.Time
 }
 
-func newReplica(upstream *blackboard.Upstream, serial uint32, distance time.Duration) *replica {
+func newReplica(upstream *blackboard.Upstream, serial uint32, distance time.Duration, plain bool) *replica {
 	id := upstream.Instance.ID
 	return &replica{
 		id:       id,
 		serial:   serial,
 		hash:     hashID(id),
 		upstream: upstream,
-		plain:    upstream.Engine == nil && upstream.Service != nil,
+		plain:    plain,
 		distance: distance,
 		cache: cacheState{
 			reach: initialReach,
 		},
-		limit: limit{
-			most: initialLimit,
-		},
+		limit: newLimit(upstream.Slots),
 	}
 }
 
@@ -139,6 +137,10 @@
 }
 
 const (
+	// reportCurrent is how long a report tells more than what other nodes say:
+	// requests run for a second or two, and at some ninety nodes what they say of
+	// theirs is four seconds old.
+	reportCurrent = time.Second
 	// reportFresh is how long a report counts in full: reports lag by seconds,
 	// and what others run lasts for seconds too.
 	reportFresh = 8 * time.Second
@@ -166,13 +168,17 @@
 	ahead float64
 }
 
-// load adds the node's own work, which is exact, to the larger of what other
-// nodes say and what the engine's lagging report leaves unexplained.
+// load adds the node's own work, which is exact, to what the engine's report
+// leaves unexplained, or what other nodes say where that is more and the report
+// is not current.
 func (p *replica) load(priority int, now time.Time) load {
 	weight := p.report.weight(now)
-	others := max(float64(p.remote.running), weight*float64(p.report.running))
-	ahead := max(p.drained(p.remote.queued, now.Sub(p.remote.heard)),
-		p.drained(p.report.queued, now.Sub(p.report.at)))
+	others := weight * float64(p.report.running)
+	ahead := p.drained(p.report.queued, now.Sub(p.report.at))
+	if now.Sub(p.report.at) > reportCurrent {
+		others = max(others, float64(p.remote.running))
+		ahead = max(ahead, p.drained(p.remote.queued, now.Sub(p.remote.heard)))
+	}
 	for class, tokens := range p.own.queued {
 		if class <= priority {
 			ahead += float64(tokens)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -41,6 +41,9 @@
 	// still be preferred; 1.2 if zero. More spares what other nodes' requests
 	// would read again, where engines do not tell what they keep.
 	HomeCost float64
+	// Plain says whether a service answers calls and not prompts, where its
+	// replicas take requests as they are; nil means that none does.
+	Plain func(service string) bool
 	// PollsASecond bounds the load reports and cache events read; 8 if zero.
 	PollsASecond int
 	// Seed makes choices repeatable; zero draws one.
--- a/routing/speed.go
+++ b/routing/speed.go
@@ -32,7 +32,7 @@
 	priorCallSlope    = 0.002
 )
 
-func (r *Router) speed(upstream *blackboard.Upstream) *speed {
+func (r *Router) speed(upstream *blackboard.Upstream, plain bool) *speed {
 	key := speedKey{
 		service: upstream.Instance.Service,
 		class:   upstream.Instance.Class,
@@ -45,7 +45,7 @@
 		first:   newCurve(priorFirst, priorFirstSlope, 100, 4000),
 		between: newCurve(priorBetween, priorBetweenSlope, 1, 16),
 	}
-	if upstream.Engine == nil && upstream.Service != nil {
+	if plain {
 		fresh.first = newCurve(priorCall, priorCallSlope, 1, 16)
 	}
 	r.speeds[key] = fresh
