Find the own failure domain first when joining

Cause: nodes that start together stayed apart for half a minute. Seven nodes of four failure domains followed the store for themselves (154 calls each of 1,263 in all), and their gossip reached nobody.

Ruled out: lost exchanges (those sent were answered), the seeds' summaries (the logs show nobody met a seed).

Change: who knows no member of its own domain asks each two seconds, wants the whole table, and takes addresses listed in its own domain first. The interval of those that represent a domain is a setting.

Test: TestSimultaneousStartWithSeedsThatComeLate failed before (5 of 6 known), 30 times passed after; the package passes.

--- a/membership/join.go
+++ b/membership/join.go
@@ -5,12 +5,14 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"zinniamast"
 )
 
 // join asks nodes that are not known yet. While nothing is known that is how
 // a node joins; later it finds what a long partition has hidden.
 func (m *Membership) join(ctx context.Context) {
-	addresses := m.unknown(append(m.listed(ctx), m.config.Seeds...))
+	addresses := m.unknown(m.listed(ctx))
 	var asked sync.WaitGroup
 	for _, address := range addresses {
 		asked.Add(1)
@@ -25,8 +27,8 @@
 	m.joined = true
 }
 
-// listed returns the addresses that the platform's list gives.
-func (m *Membership) listed(ctx context.Context) []string {
+// listed returns the entry instances that the platform's list gives.
+func (m *Membership) listed(ctx context.Context) []zinniamast.Instance {
 	if m.config.List == nil {
 		return nil
 	}
@@ -37,19 +39,55 @@
 		m.config.Logger.Warn("instance_list_failed", "error", err)
 		return nil
 	}
-	var addresses []string
+	var entries []zinniamast.Instance
 	for _, instance := range instances {
 		if instance.Role == "entry" && !instance.Leaving {
-			addresses = append(addresses, instance.Address)
+			entries = append(entries, instance)
 		}
 	}
-	return addresses
+	return entries
 }
 
-// unknown picks a few of the addresses at which no known member is.
-func (m *Membership) unknown(addresses []string) []string {
+// unknown picks a few addresses at which no known member is: those listed in
+// this failure domain first, then those in others and the seeds.
+//
+// Failure: all nodes start at once, and who meets a node of another failure
+// domain first counts as joined. With every listed address drawn alike, a node
+// found its own domain after minutes, and until then was alone in it.
+func (m *Membership) unknown(listed []zinniamast.Instance) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	known := m.knownAddresses()
+	var own, others []string
+	for _, instance := range listed {
+		switch {
+		case known[instance.Address]:
+			continue
+		case instance.FailureDomain == m.config.FailureDomain:
+			own = append(own, instance.Address)
+		default:
+			others = append(others, instance.Address)
+		}
+		known[instance.Address] = true
+	}
+	for _, address := range m.config.Seeds {
+		if !known[address] {
+			known[address] = true
+			others = append(others, address)
+		}
+	}
+	shuffle(own)
+	shuffle(others)
+	limit := 1
+	if len(m.members) == 0 {
+		limit = maxSeedsPerTick
+	}
+	unknown := append(own, others...)
+	return unknown[:min(len(unknown), limit)]
+}
+
+// knownAddresses are those that need not be asked; the caller holds the lock.
+func (m *Membership) knownAddresses() map[string]bool {
 	known := map[string]bool{
 		m.own.Address: true,
 		"":            true,
@@ -63,19 +101,11 @@
 			known[contact.Address] = true
 		}
 	}
-	var unknown []string
-	for _, address := range addresses {
-		if !known[address] {
-			known[address] = true
-			unknown = append(unknown, address)
-		}
-	}
-	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
-	limit := 1
-	if m.alone() {
-		limit = maxSeedsPerTick
-	}
-	return unknown[:min(len(unknown), limit)]
+	return known
+}
+
+func shuffle(addresses []string) {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 }
 
 // introduce tells an address who we are and takes in all that it knows.
@@ -83,7 +113,7 @@
 	m.mu.Lock()
 	message := m.message()
 	message.Domain = m.config.FailureDomain
-	message.Want = m.alone()
+	message.Want = len(m.members) == 0
 	message.Records = []Record{m.own}
 	message.Summaries = []Summary{m.summary()}
 	m.mu.Unlock()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -23,6 +23,9 @@
 	summaryInterval   = 2 * time.Second
 	deadProbeInterval = 5 * time.Second
 	seedInterval      = 30 * time.Second
+	// lonelyInterval is how often a node asks that knows nobody in its own
+	// failure domain, where there may be nobody.
+	lonelyInterval    = 2 * time.Second
 	tableInterval     = time.Second
 	forgetAfter       = 10 * time.Minute
 	forgetDomainAfter = time.Hour
@@ -53,6 +56,9 @@
 	Seeds []string
 	// List is the platform's instance list; nil where there is none.
 	List zinniamast.InstanceList
+	// SeedInterval is how often those who represent their failure domain ask
+	// nodes not known yet; 30 s if zero. Less serves where the list costs nothing.
+	SeedInterval time.Duration
 	// Members is the table to keep.
 	Members *blackboard.Members
 	// Transport carries the messages.
@@ -102,6 +108,9 @@
 	if config.Logger == nil {
 		config.Logger = slog.Default()
 	}
+	if config.SeedInterval == 0 {
+		config.SeedInterval = seedInterval
+	}
 	if config.ConfigVersion == nil {
 		config.ConfigVersion = func() uint64 { return 0 }
 	}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -296,6 +296,34 @@
 	})
 }
 
+// All nodes start at once, the seeds last, so that their answer is missing. Who
+// meets a node of another failure domain on the platform's list knows none of
+// its own; taken for joined, such nodes stayed apart for half a minute: each
+// followed the store for itself, and the news of one reached none of them.
+func TestSimultaneousStartWithSeedsThatComeLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := newNetwork()
+		network.listed = time.Now().Add(time.Second)
+		var all []*node
+		for i := range 24 {
+			name := fmt.Sprintf("node-%03d", 23-i)
+			all = append(all, network.start(t, name, fmt.Sprintf("domain-%02d", i%4), "node-000", "node-001", "node-002"))
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(6 * time.Second)
+		for _, n := range all {
+			known := 0
+			for _, member := range n.table.All() {
+				if member.FailureDomain == n.domain && !member.Dead {
+					known++
+				}
+			}
+			is.Equal(known, 6) // every node of its own domain, itself included
+		}
+	})
+}
+
 // News of a leaving upstream must reach every node of the domain far below
 // 2 s, also when its origin dies at once, and the other domains if it is wide;
 // it is heard once, and a node that joins later hears it while it is news.
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"zinniamast"
 	"zinniamast/blackboard"
 	"zinniamast/membership"
 )
@@ -39,6 +40,31 @@
 	sizes  *sizer
 	bytes  map[string]int
 	count  map[string]int
+	// listed is from when the platform's list, which every node has, shows others
+	// than the first domain's; zero means that there is no list.
+	listed time.Time
+}
+
+// firstDomain is the failure domain whose nodes the list shows at once.
+const firstDomain = "domain-00"
+
+// List implements zinniamast.InstanceList.
+func (n *network) List(context.Context) ([]zinniamast.Instance, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var instances []zinniamast.Instance
+	for _, started := range n.nodes {
+		if started.domain != firstDomain && time.Now().Before(n.listed) {
+			continue
+		}
+		instances = append(instances, zinniamast.Instance{
+			ID:            started.id,
+			FailureDomain: started.domain,
+			Role:          "entry",
+			Address:       started.id,
+		})
+	}
+	return instances, nil
 }
 
 // node is one member under test.
@@ -72,7 +98,12 @@
 		domain: domain,
 		table:  blackboard.NewMembers(),
 	}
+	var list zinniamast.InstanceList
+	if !n.listed.IsZero() {
+		list = n
+	}
 	started.Membership = membership.New(membership.Config{
+		List:          list,
 		ID:            id,
 		FailureDomain: domain,
 		Address:       id,
--- a/membership/step.go
+++ b/membership/step.go
@@ -51,10 +51,14 @@
 // seedsDue says whether to ask nodes not known yet. Once joined only the
 // representatives do, or the few seeds would hear from the whole fleet.
 func (m *Membership) seedsDue(now time.Time) bool {
-	if m.alone() {
+	switch {
+	case m.alone():
 		return due(&m.seedAt, now, time.Second)
+	case len(m.members) == 0:
+		return due(&m.seedAt, now, lonelyInterval)
+	default:
+		return m.representing() && due(&m.seedAt, now, m.config.SeedInterval)
 	}
-	return m.representing() && due(&m.seedAt, now, seedInterval)
 }
 
 // alone says whether no other node is known; the caller holds the lock.
