Order replicas by what all nodes are asked

Nodes told their demand by wide gossip, which passes between failure domains with the summaries, one domain each two seconds, and expired after two: each node heard its own failure domain alone. The floor of a third of the replicas hid it.

Change: demand travels with the replicas' reports: a node's question to its reader carries its own, the answer that of all failure domains. As the number was tuned to a quarter of the demand (12 running a replica), replicas are ordered for 0.6 of their slots instead.

--- a/demand/demand.go
+++ b/demand/demand.go
@@ -1,29 +1,23 @@
-// Package demand tells the nodes what each of them is asked of each service;
-// replicas are ordered by it.
+// Package demand knows what all nodes are asked of each service; replicas are
+// ordered by it.
+//
+// Each node tells the node that reads for its failure domain what it is asked
+// itself; that node tells the domain's sum to the others. Package reports
+// carries both.
 package demand
 
 import (
-	"context"
-	"encoding/binary"
 	"math"
 	"sync"
 	"time"
-
-	"github.com/zeebo/xxh3"
-
-	"zinniamast"
 )
 
 const (
-	// interval is how often a node tells in a small fleet.
-	interval = 500 * time.Millisecond
-	// heardASecond bounds the nodes heard in a second at any size of the fleet.
-	heardASecond = 40
-	// expires is how long what a node told counts.
-	expires = 1500 * time.Millisecond
+	// expires is how long what another node or failure domain told counts: they
+	// tell several times a second, and some calls fail.
+	expires = 2 * time.Second
 	// memory is how long an arrival counts in a rate.
-	memory  = 3 * time.Second
-	newsKey = "node"
+	memory = 3 * time.Second
 )
 
 // Load is what is asked of a service.
@@ -36,32 +30,48 @@
 	Prompt float64
 }
 
-// Config says who tells whom.
-type Config struct {
-	// Node is this instance's name.
-	Node string
-	// Gossip carries the news.
-	Gossip zinniamast.Gossip
-	// Nodes returns how many nodes there are.
-	Nodes func() int
+// Loads holds a load for each service.
+type Loads map[string]Load
+
+// add adds others service by service.
+func (l Loads) add(others Loads) {
+	for service, other := range others {
+		sum := l[service]
+		sum.Running += other.Running
+		sum.Arrivals += other.Arrivals
+		sum.Prompt += other.Prompt
+		l[service] = sum
+	}
+}
+
+// Told is what is asked in one failure domain.
+type Told struct {
+	Loads Loads
+	// Age is how old it is; nodes share no clock.
+	Age time.Duration
 }
 
 // Demand is what this node and the others are asked. The lock is held for
-// microseconds, never during a call to another package but Gossip.
+// microseconds, never during a call to another package.
 type Demand struct {
-	config Config
+	failureDomain string
 
 	mu       sync.Mutex
-	services map[uint32]*counters
-	others   map[string]told
+	services map[string]*counters
+	// nodes holds what nodes of this failure domain told, and domains what their
+	// readers told of whole failure domains.
+	nodes   map[string]kept
+	domains map[string]kept
 }
 
-// told is what another node said last.
-type told struct {
-	services map[uint32]Load
-	until    time.Time
+// kept is what was told and when it was true, by this node's clock.
+type kept struct {
+	loads Loads
+	at    time.Time
 }
 
+func (k kept) fresh(now time.Time) bool { return now.Sub(k.at) < expires }
+
 // rate is an exponentially weighted sum per second.
 type rate struct {
 	value float64
@@ -96,27 +106,23 @@
 	c.running += by
 }
 
-// New returns a table that has counted nothing.
-func New(config Config) *Demand {
-	d := &Demand{
-		config:   config,
-		services: map[uint32]*counters{},
-		others:   map[string]told{},
+// New returns a table for a node of a failure domain that has counted nothing.
+func New(failureDomain string) *Demand {
+	return &Demand{
+		failureDomain: failureDomain,
+		services:      map[string]*counters{},
+		nodes:         map[string]kept{},
+		domains:       map[string]kept{},
 	}
-	config.Gossip.Subscribe(zinniamast.TopicDemand, d.hear)
-	return d
 }
 
-func short(name string) uint32 { return uint32(xxh3.HashString(name)) }
-
 func (d *Demand) service(name string, now time.Time) *counters {
-	key := short(name)
-	c, ok := d.services[key]
+	c, ok := d.services[name]
 	if !ok {
 		c = &counters{
 			at: now,
 		}
-		d.services[key] = c
+		d.services[name] = c
 	}
 	return c
 }
@@ -150,102 +156,107 @@
 	}
 }
 
-// Of returns what all nodes together are asked of a service.
-func (d *Demand) Of(service string) Load {
+// Own returns what this node is asked.
+func (d *Demand) Own() Loads {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	sum := d.service(service, now).load(now)
-	key := short(service)
-	for _, other := range d.others {
-		if now.After(other.until) {
-			continue
-		}
-		l := other.services[key]
-		sum.Running += l.Running
-		sum.Arrivals += l.Arrivals
-		sum.Prompt += l.Prompt
-	}
-	return sum
+	return d.own(now)
 }
 
-// MeanPrompt returns the mean length of a service's prompts in tokens; zero
-// while none came.
-func (d *Demand) MeanPrompt(service string) float64 {
-	load := d.Of(service)
-	if load.Arrivals == 0 {
-		return 0
+func (d *Demand) own(now time.Time) Loads {
+	loads := Loads{}
+	for name, c := range d.services {
+		loads[name] = c.load(now)
 	}
-	return load.Prompt / load.Arrivals
+	return loads
 }
 
-// Run tells the other nodes until ctx ends.
-func (d *Demand) Run(ctx context.Context) {
-	for {
-		nodes := time.Duration(d.config.Nodes())
-		wait := max(interval, nodes*time.Second/heardASecond)
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-			return
-		}
-		d.config.Gossip.Publish(zinniamast.News{
-			Topic:   zinniamast.TopicDemand,
-			Key:     newsKey,
-			Value:   d.encode(time.Now()),
-			Expires: time.Now().Add(expires + wait),
-			Wide:    true,
-		})
+// HearNode takes in what a node of this failure domain is asked.
+func (d *Demand) HearNode(node string, loads Loads) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nodes[node] = kept{
+		loads: loads,
+		at:    time.Now(),
 	}
 }
 
-// serviceBytes is the size of one service in the news: a hash and its figures.
-const serviceBytes = 16
-
-// encode writes the load of each service.
-func (d *Demand) encode(now time.Time) []byte {
+// HearDomain takes in what a failure domain is asked; older news than what is
+// known is dropped.
+func (d *Demand) HearDomain(failureDomain string, told Told) {
+	at := time.Now().Add(-told.Age)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var value []byte
-	for key, c := range d.services {
-		if len(value)+serviceBytes > zinniamast.MaxNews {
-			break
-		}
-		l := c.load(now)
-		value = binary.BigEndian.AppendUint32(value, key)
-		for _, figure := range []float64{l.Running, l.Arrivals, l.Prompt} {
-			value = appendFloat(value, figure)
+	if at.After(d.domains[failureDomain].at) {
+		d.domains[failureDomain] = kept{
+			loads: told.Loads,
+			at:    at,
 		}
 	}
-	return value
 }
 
-func appendFloat(to []byte, figure float64) []byte {
-	return binary.BigEndian.AppendUint32(to, math.Float32bits(float32(figure)))
+// Sum adds this node and those of its failure domain up, for a node that reads
+// for its failure domain, and keeps the sum as the domain's.
+func (d *Demand) Sum() {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sum := d.own(now)
+	for node, k := range d.nodes {
+		if !k.fresh(now) {
+			delete(d.nodes, node)
+			continue
+		}
+		sum.add(k.loads)
+	}
+	d.domains[d.failureDomain] = kept{
+		loads: sum,
+		at:    now,
+	}
 }
 
-func floatAt(data []byte, at int) float64 {
-	return float64(math.Float32frombits(binary.BigEndian.Uint32(data[at:])))
+// Domains returns what is known of one failure domain, or of all where none is named.
+func (d *Demand) Domains(failureDomain string) map[string]Told {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := map[string]Told{}
+	for domain, k := range d.domains {
+		if k.fresh(now) && (failureDomain == "" || failureDomain == domain) {
+			known[domain] = Told{
+				Loads: k.loads,
+				Age:   now.Sub(k.at),
+			}
+		}
+	}
+	return known
 }
 
-// hear takes in what another node said.
-func (d *Demand) hear(news zinniamast.News) {
-	if news.Origin == d.config.Node {
-		return
+// Of returns what all nodes together are asked of a service. Where nothing is
+// known of this node's own failure domain, the node itself stands for it.
+func (d *Demand) Of(service string) Load {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sum := Loads{}
+	for _, k := range d.domains {
+		if k.fresh(now) {
+			sum.add(k.loads)
+		}
 	}
-	said := told{
-		services: map[uint32]Load{},
-		// Counted from now, by this node's own clock.
-		until: time.Now().Add(expires + time.Duration(d.config.Nodes())*time.Second/heardASecond),
+	if !d.domains[d.failureDomain].fresh(now) {
+		sum.add(d.own(now))
 	}
-	for data := news.Value; len(data) >= serviceBytes; data = data[serviceBytes:] {
-		said.services[binary.BigEndian.Uint32(data)] = Load{
-			Running:  floatAt(data, 4),
-			Arrivals: floatAt(data, 8),
-			Prompt:   floatAt(data, 12),
-		}
+	return sum[service]
+}
+
+// MeanPrompt returns the mean length of a service's prompts in tokens; zero
+// while none came.
+func (d *Demand) MeanPrompt(service string) float64 {
+	load := d.Of(service)
+	if load.Arrivals == 0 {
+		return 0
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.others[news.Origin] = said
+	return load.Prompt / load.Arrivals
 }
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -40,11 +40,7 @@
 	if err := e.openPeers(); err != nil {
 		return err
 	}
-	e.demand = demand.New(demand.Config{
-		Node:   e.config.Settings.Instance,
-		Gossip: e.members,
-		Nodes:  e.nodes,
-	})
+	e.demand = demand.New(e.config.Settings.FailureDomain)
 	if err := e.shareReports(); err != nil {
 		return err
 	}
@@ -242,7 +238,6 @@
 		e.enterRoster,
 		e.borrow,
 		e.members.Run,
-		e.demand.Run,
 		e.reports.Run,
 		e.allowance.Run,
 		e.usage.Run,
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -15,6 +15,7 @@
 func (e *Entry) shareReports() error {
 	s := e.config.Settings
 	e.reports = reports.New(reports.Config{
+		Node:           s.Instance,
 		FailureDomain:  s.FailureDomain,
 		FailureDomains: s.FailureDomains,
 		Upstreams:      e.board.Upstreams,
@@ -22,7 +23,7 @@
 		Reader:         e.reportReader,
 		Contact:        e.reportContact,
 		Plain:          e.isPlain,
-		MeanPrompt:     e.demand.MeanPrompt,
+		Demand:         e.demand,
 		Hear:           e.heardReport,
 		Logger:         e.config.Logger,
 	})
--- a/reports/board.go
+++ b/reports/board.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"zinniamast/demand"
 )
 
 // Report is what a replica said of its load.
@@ -25,6 +27,8 @@
 	Reports []Report
 	// Position is where the next question goes on.
 	Position uint64
+	// Demand is what the failure domains asked for are asked.
+	Demand map[string]demand.Told
 }
 
 // kept is a report with this node's time of the reading.
--- a/reports/reader.go
+++ b/reports/reader.go
@@ -73,5 +73,5 @@
 // waits there whole, and half of what it is at, in prompts of the mean length.
 func (s *Sharer) queued(service string, load zinniamast.LoadReport) int {
 	prompts := float64(load.Waiting) + float64(load.Prefilling)/2
-	return int(prompts * s.config.MeanPrompt(service))
+	return int(prompts * s.config.Demand.MeanPrompt(service))
 }
--- a/reports/share.go
+++ b/reports/share.go
@@ -8,6 +8,7 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/demand"
 )
 
 // Source reads one replica's report.
@@ -21,6 +22,10 @@
 	FailureDomain string
 	Position      uint64
 	Wait          time.Duration
+	// Node asks, and Loads are what it is asked itself; empty where it is of
+	// another failure domain.
+	Node  string
+	Loads demand.Loads
 }
 
 // Peer is another node's board.
@@ -30,6 +35,8 @@
 
 // Config says who reads and who hears.
 type Config struct {
+	// Node is this instance's name.
+	Node string
 	// FailureDomain is this node's, and FailureDomains are all.
 	FailureDomain  string
 	FailureDomains []string
@@ -42,8 +49,8 @@
 	Contact func(failureDomain string) Peer
 	// Plain says whether a service's replicas tell no load.
 	Plain func(service string) bool
-	// MeanPrompt returns the mean length of a service's prompts, in tokens.
-	MeanPrompt func(service string) float64
+	// Demand is what the nodes are asked, which travels with the reports.
+	Demand *demand.Demand
 	// Hear takes in each new report.
 	Hear func(replica string, report zinniamast.LoadReport)
 	// Logger hears of readers that do not answer; nil means slog's default.
@@ -76,7 +83,12 @@
 
 // Tell answers another node.
 func (s *Sharer) Tell(ctx context.Context, ask Ask) Told {
-	return s.board.Since(ctx, ask.FailureDomain, ask.Position, min(ask.Wait, longestWait))
+	if ask.Node != "" {
+		s.config.Demand.HearNode(ask.Node, ask.Loads)
+	}
+	told := s.board.Since(ctx, ask.FailureDomain, ask.Position, min(ask.Wait, longestWait))
+	told.Demand = s.config.Demand.Domains(ask.FailureDomain)
+	return told
 }
 
 const (
@@ -109,11 +121,16 @@
 	for ctx.Err() == nil {
 		peer := s.config.Reader()
 		if peer == nil {
+			s.config.Demand.Sum()
 			s.readAll(ctx)
 			pause(ctx, readInterval)
 			continue
 		}
-		position = s.ask(ctx, peer, "", position)
+		position = s.ask(ctx, peer, Ask{
+			Position: position,
+			Node:     s.config.Node,
+			Loads:    s.config.Demand.Own(),
+		})
 	}
 }
 
@@ -129,26 +146,29 @@
 			pause(ctx, againAfter)
 			continue
 		}
-		position = s.ask(ctx, peer, domain, position)
+		position = s.ask(ctx, peer, Ask{
+			FailureDomain: domain,
+			Position:      position,
+		})
 	}
 }
 
 // ask takes in what a peer tells and returns where to go on. A position that
 // another peer gave is harmless: it gets too much or, once, nothing new.
-func (s *Sharer) ask(ctx context.Context, peer Peer, domain string, position uint64) uint64 {
+func (s *Sharer) ask(ctx context.Context, peer Peer, ask Ask) uint64 {
 	asked, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	told, err := peer.TellReports(asked, Ask{
-		FailureDomain: domain,
-		Position:      position,
-		Wait:          askWait,
-	})
+	ask.Wait = askWait
+	told, err := peer.TellReports(asked, ask)
 	if err != nil {
-		s.config.Logger.Debug("no reports told", "failure_domain", domain, "cause", err)
+		s.config.Logger.Debug("no reports told", "failure_domain", ask.FailureDomain, "cause", err)
 		pause(ctx, againAfter)
 		return 0
 	}
 	s.take(told.Reports)
+	for domain, demand := range told.Demand {
+		s.config.Demand.HearDomain(domain, demand)
+	}
 	return told.Position
 }
 
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	// runningPerReplica is how many running requests a replica is ordered for.
-	runningPerReplica = 12
+	// busyPart of a replica's slots is what it is ordered for: requests come
+	// unevenly to replicas, and long prompts slow what runs beside them.
+	busyPart = 0.6
+	// unknownSlots stands for a service that does not say how many requests its
+	// replicas run at once.
+	unknownSlots = 20
 	// spare is the part ordered beyond that, for the time that a new replica
 	// takes to start.
 	spare = 1.25
@@ -122,7 +126,11 @@
 // needed is how many replicas the demand needs, all failure domains together,
 // with one failure domain's part to spare.
 func needed(s State) int {
-	base := math.Ceil(spare * s.Load.Running / runningPerReplica)
+	slots := unknownSlots
+	if s.Service.Engine != nil && s.Service.Engine.Slots > 0 {
+		slots = s.Service.Engine.Slots
+	}
+	base := math.Ceil(spare * s.Load.Running / (busyPart * float64(slots)))
 	domains := float64(len(s.Domains))
 	base = max(base, math.Ceil(leastPart*float64(s.Service.Scaling.Max)*domains))
 	if domains > 1 {
