Write usage counts by one node of each failure domain

Change: nodes hand their counts each second to the reader of their failure domain, which writes all in one call. Items are named after the node's life and the writer's; of a life's items the one with the highest sequence counts, so that a change of writers, a lost answer or a late write counts nothing twice. A node that cannot hand over writes itself. Items that another has replaced are dropped.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -45,7 +45,9 @@
 		return err
 	}
 	e.routeRequests()
-	e.takeDuties()
+	if err := e.takeDuties(); err != nil {
+		return err
+	}
 	e.serveCallers()
 	return nil
 }
@@ -89,14 +91,14 @@
 
 // takeDuties builds what acts for the fleet while this node holds the lease,
 // and what each node counts for it.
-func (e *Entry) takeDuties() {
+func (e *Entry) takeDuties() error {
 	s := e.config.Settings
 	e.usage = usage.NewCounter(usage.CounterConfig{
 		Table:  e.table,
 		Clock:  e.clock,
 		Node:   s.Instance,
 		Window: s.Bounds.UsageWindow,
-		Nodes:  e.nodes,
+		Writer: e.usageWriter,
 		Logger: e.config.Logger,
 	})
 	e.lease = lease.New(lease.Config{
@@ -126,6 +128,7 @@
 		FailureDomains: s.FailureDomains,
 		Logger:         e.config.Logger,
 	})
+	return e.peers.RegisterPeer(usageName, &UsageTaker{counter: e.usage})
 }
 
 // homeCost lets a prefix's home be dearer than the cheapest replica. With 1.6
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -1,8 +1,9 @@
 // Package usage counts which organisation's requests began to run in each
 // window of true time, and reports each window once.
 //
-// Each node writes its counts to the platform's table about once a second, so
-// that they outlive it. The holder of the duty's lease adds them up, writes
+// Each node hands its counts about once a second to the node that writes for
+// its failure domain, which puts them into the platform's table in one call,
+// so that they outlive both. The holder of the duty's lease adds them up, writes
 // the report to the table before it is sent, and sends it: whoever holds the
 // duty next sends exactly the same.
 package usage
@@ -10,8 +11,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -24,26 +23,30 @@
 
 // Partitions of the table.
 const (
-	// CountsPartition holds one item a node's life.
+	// CountsPartition holds one item for each node and each life of a node that
+	// wrote for it. A node's newest one holds all that the others hold.
 	CountsPartition = "usage"
 	// ReportsPartition holds one item a window that was reported.
 	ReportsPartition = "usage_report"
 )
 
 const (
-	// lostPart is how much of a window's counts one killed node may lose to the
-	// report: half of the twentieth by which the platform lets it be off.
-	lostPart = 0.025
-	// writeInterval is the shortest time between two writes.
+	// writeInterval is the time between two writes: what a node has counted since
+	// is lost with it, and a report may be off by a twentieth of five seconds.
 	writeInterval = time.Second
-	// writeDelay is up to how long after its moment a node writes, so that
-	// nodes do not write together.
+	// writeDelay is up to how long after its moment a node hands its counts on or
+	// writes, so that nodes do not call together.
 	writeDelay = 300 * time.Millisecond
+	// collectDelay is how much later a node writes that others hand theirs to.
+	collectDelay = 350 * time.Millisecond
 	// keepWindows is for how many windows a node's counts stay in its item:
 	// outages of the store shorter than that cost no counts.
 	keepWindows = 12
-	// callTimeout bounds one call to the table.
+	// callTimeout bounds one call to the table or to another node.
 	callTimeout = 2 * time.Second
+	// writtenAtOnce bounds the items of one write: a call may hold a megabyte, and
+	// an item is some three kilobytes.
+	writtenAtOnce = 50
 )
 
 // Clock tells true time.
@@ -52,6 +55,11 @@
 	Now() (time.Time, bool)
 }
 
+// Collector writes other nodes' counts with its own.
+type Collector interface {
+	Collect(ctx context.Context, counts Counts) error
+}
+
 // CounterConfig says what a counter counts and where it writes.
 type CounterConfig struct {
 	Table zinniamast.Table
@@ -60,35 +68,48 @@
 	Node string
 	// Window is the length of a window.
 	Window time.Duration
-	// Nodes returns how many nodes write.
-	Nodes func() int
+	// Writer returns the node that writes for this one; nil means that this node
+	// writes itself, and for those that hand it theirs.
+	Writer func() Collector
 	// Logger hears of failures; nil means slog's default.
 	Logger *slog.Logger
 }
 
+// Counts are what one life of a node has counted.
+type Counts struct {
+	// Node names the node and its life.
+	Node string `json:"node"`
+	// Sequence rises with each reading of the counts in a node's life.
+	Sequence uint64 `json:"sequence"`
+	// ThroughMS is the true time up to which the counts are whole, in
+	// milliseconds since 1970.
+	ThroughMS int64 `json:"through_ms"`
+	// Stopped means that the node counts no more.
+	Stopped bool `json:"stopped,omitempty"`
+	// Windows holds counts by window and organisation.
+	Windows map[string]map[string]int `json:"windows"`
+}
+
 // Counter counts the requests that begin at one node.
 type Counter struct {
 	config CounterConfig
-	key    zinniamast.Key
+	// life names the node and its life.
+	life string
 
 	mu sync.Mutex
 	// windows holds counts by window and organisation.
 	windows map[int64]map[string]int
 	// early counts requests that began before true time was known.
 	early map[string]int
+	// sequence is that of the last reading.
+	sequence uint64
+	// collected holds what other nodes handed over and is not written yet.
+	collected map[string]Counts
 
-	// revision is that of the node's item; it belongs to Run.
-	revision uint64
-}
-
-// counts is a node's item.
-type counts struct {
-	// ThroughMS is the true time up to which the counts are whole, in
-	// milliseconds since 1970.
-	ThroughMS int64 `json:"through_ms"`
-	// Stopped means that the node counts no more.
-	Stopped bool                      `json:"stopped,omitempty"`
-	Windows map[string]map[string]int `json:"windows"`
+	// sheet names the items that this node writes now, and revisions are theirs;
+	// both belong to Run.
+	sheet     string
+	revisions map[string]uint64
 }
 
 // NewCounter returns a counter of one node's life.
@@ -96,15 +117,26 @@
 	if config.Logger == nil {
 		config.Logger = slog.Default()
 	}
-	return &Counter{
-		config: config,
-		key: zinniamast.Key{
-			Partition: CountsPartition,
-			Sort:      config.Node + "/" + strconv.FormatUint(rand.Uint64(), 36),
-		},
-		windows: map[int64]map[string]int{},
-		early:   map[string]int{},
+	if config.Writer == nil {
+		config.Writer = func() Collector { return nil }
+	}
+	c := &Counter{
+		config:    config,
+		life:      config.Node + "/" + randomName(),
+		windows:   map[int64]map[string]int{},
+		early:     map[string]int{},
+		collected: map[string]Counts{},
 	}
+	c.turnSheet()
+	return c
+}
+
+func randomName() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
+// turnSheet goes on with new items.
+func (c *Counter) turnSheet() {
+	c.sheet = randomName()
+	c.revisions = map[string]uint64{}
 }
 
 // Began counts a request of an organisation that begins to run now.
@@ -137,63 +169,137 @@
 	return time.Unix(0, (number+1)*int64(length))
 }
 
-// Run writes the counts until ctx ends, and a last time then.
+// Collect takes another node's counts in; they are written with this node's own.
+func (c *Counter) Collect(counts Counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.collected[counts.Node]; !ok || counts.Sequence > known.Sequence {
+		c.collected[counts.Node] = counts
+	}
+}
+
+// Run hands over or writes the counts until ctx ends, and a last time then.
 func (c *Counter) Run(ctx context.Context) {
 	for {
 		select {
 		case <-time.After(c.untilNext()):
-			c.write(ctx, false)
+			c.tell(ctx)
 		case <-ctx.Done():
-			c.write(context.WithoutCancel(ctx), true)
+			c.writeOwn(context.WithoutCancel(ctx), true)
 			return
 		}
 	}
 }
 
 // untilNext is the time to the next write. Writes divide each window evenly,
-// and one comes right after its end, when its report is waited for. A node of
-// a large fleet writes once a window: what it would lose is a small part.
+// and one comes right after its end, when its report is waited for.
 func (c *Counter) untilNext() time.Duration {
-	window := c.config.Window
-	interval := time.Duration(lostPart * float64(window) * float64(c.config.Nodes()))
-	interval = min(max(interval, writeInterval), window)
-	interval = window / (window / interval)
+	wait := rand.N(writeDelay)
+	if c.config.Writer() == nil {
+		wait = collectDelay + rand.N(writeDelay)/3
+	}
 	now, ok := c.config.Clock.Now()
 	if !ok {
-		return interval
+		return writeInterval + wait
+	}
+	since := time.Duration(now.UnixNano() % int64(writeInterval))
+	return writeInterval - since + wait
+}
+
+// tell hands the counts to the node that writes, or writes them.
+//
+// Load: 91 nodes that write for themselves each five seconds make 18 calls a
+// second, a fifth of all calls to the store, and lose five seconds' counts with
+// each that dies. One writer in each of four failure domains makes four.
+func (c *Counter) tell(ctx context.Context) {
+	writer := c.config.Writer()
+	now, ok := c.config.Clock.Now()
+	if writer == nil || !ok {
+		c.writeOwn(ctx, false)
+		return
+	}
+	asked, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := writer.Collect(asked, c.snapshot(now, false)); err != nil {
+		c.config.Logger.Info("usage not handed over", "cause", err)
+		c.writeOwn(ctx, false)
 	}
-	since := time.Duration(now.UnixNano() % int64(interval))
-	return interval - since + rand.N(writeDelay)
 }
 
-// write writes the node's item. A failed write is made up for by the next,
-// which holds all that it held.
-func (c *Counter) write(ctx context.Context, last bool) {
+// writeOwn writes this node's counts and what it collected. A failed write is
+// made up for by the next, which holds all that it held.
+func (c *Counter) writeOwn(ctx context.Context, last bool) {
 	now, ok := c.config.Clock.Now()
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	value, err := json.Marshal(c.snapshot(now, last))
-	if err == nil {
-		err = c.put(ctx, value)
+	all := append(c.takeCollected(), c.snapshot(now, last))
+	for len(all) > 0 {
+		batch := all[:min(len(all), writtenAtOnce)]
+		all = all[len(batch):]
+		if err := c.put(ctx, batch); err != nil {
+			// The effect may be open. New items leave it behind: of a node's items
+			// the newest counts.
+			c.turnSheet()
+			c.config.Logger.Warn("usage not written", "nodes", len(batch), "cause", err)
+		}
 	}
-	if err != nil {
-		c.config.Logger.Warn("usage not written", "cause", err)
+}
+
+func (c *Counter) takeCollected() []Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []Counts
+	for _, counts := range c.collected {
+		all = append(all, counts)
 	}
+	clear(c.collected)
+	return all
 }
 
-// snapshot returns the node's item and forgets old windows.
-func (c *Counter) snapshot(now time.Time, last bool) counts {
+// put writes one item for each node's counts, in one call.
+func (c *Counter) put(ctx context.Context, batch []Counts) error {
+	writes := make([]zinniamast.Write, 0, len(batch))
+	for _, counts := range batch {
+		value, err := json.Marshal(counts)
+		if err != nil {
+			return err
+		}
+		writes = append(writes, zinniamast.Write{
+			Item: zinniamast.Item{
+				Key: zinniamast.Key{
+					Partition: CountsPartition,
+					Sort:      counts.Node + "/" + c.sheet,
+				},
+				Value: value,
+			},
+			Expect: c.revisions[counts.Node],
+		})
+	}
+	if err := c.config.Table.Write(ctx, writes); err != nil {
+		return err
+	}
+	for _, counts := range batch {
+		c.revisions[counts.Node]++
+	}
+	return nil
+}
+
+// snapshot returns the node's counts and forgets old windows.
+func (c *Counter) snapshot(now time.Time, last bool) Counts {
 	current := windowOf(now, c.config.Window)
-	item := counts{
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sequence++
+	item := Counts{
+		Node:      c.life,
+		Sequence:  c.sequence,
 		ThroughMS: now.UnixMilli(),
 		Stopped:   last,
 		Windows:   map[string]map[string]int{},
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	for organisation, count := range c.early {
 		c.window(current)[organisation] += count
 	}
@@ -207,42 +313,3 @@
 	}
 	return item
 }
-
-// put writes the item whatever stands there: nobody else writes it.
-func (c *Counter) put(ctx context.Context, value []byte) error {
-	for range 2 {
-		err := c.config.Table.Write(ctx, []zinniamast.Write{{
-			Item: zinniamast.Item{
-				Key:   c.key,
-				Value: value,
-			},
-			Expect: c.revision,
-		}})
-		if err == nil {
-			c.revision++
-			return nil
-		}
-		if !errors.Is(err, zinniamast.ErrConflict) {
-			return c.reread(ctx, err)
-		}
-		// An earlier write whose answer was lost stands.
-		if err := c.reread(ctx, nil); err != nil {
-			return err
-		}
-	}
-	return fmt.Errorf("usage: %w", zinniamast.ErrConflict)
-}
-
-// reread learns the item's revision after a write whose effect is open; it
-// returns the error that it was given, or its own.
-func (c *Counter) reread(ctx context.Context, cause error) error {
-	item, err := c.config.Table.Get(ctx, c.key)
-	if err == nil || errors.Is(err, zinniamast.ErrNotFound) {
-		c.revision = item.Revision
-		return cause
-	}
-	if cause != nil {
-		return cause
-	}
-	return err
-}
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -23,14 +23,17 @@
 	duePart = 0.65
 	// catchUp is how many windows back a new holder begins.
 	catchUp = 6
-	// queryLimit is how many nodes' items one read takes.
-	queryLimit = 500
+	// queryLimit is how many items one read takes.
+	queryLimit = 2000
 	// sendTime is what the lease must still last for one report to be sent.
 	sendTime = time.Second
 	// keepReports is for how many windows reports and items of dead nodes stay.
 	keepReports = 24
+	// replacedAfter is how many windows behind the newest of its life an item is
+	// dropped; until then a write whose answer was lost may still come.
+	replacedAfter = 2
 	// prunedAtOnce bounds the items removed with one window.
-	prunedAtOnce = 20
+	prunedAtOnce = 50
 )
 
 // Lease is the right to report.
@@ -57,8 +60,11 @@
 	config ReporterConfig
 	// fence is the one under which next was found.
 	fence uint64
-	// next is the first window that this holder has not sent.
-	next int64
+	// next is the first window that this holder has not sent, and since the one
+	// that ran when it became the holder: nobody else can have written a report of
+	// that one or a later one, but a holder that follows it.
+	next  int64
+	since int64
 }
 
 // NewReporter returns a reporter; Run starts it.
@@ -102,6 +108,7 @@
 	if fence != r.fence {
 		r.fence = fence
 		r.next = current - catchUp
+		r.since = current
 	}
 	for r.next < current {
 		sent, err := r.window(ctx, r.next, now)
@@ -121,7 +128,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	report, err := r.written(ctx, number)
+	report, err := r.known(ctx, number)
 	if errors.Is(err, zinniamast.ErrNotFound) {
 		var whole bool
 		report, whole, err = r.add(ctx, number)
@@ -143,6 +150,15 @@
 	}
 }
 
+// known returns the report that an earlier holder has written. Where there can
+// be none it is not asked for: a write meets what stands there all the same.
+func (r *Reporter) known(ctx context.Context, number int64) (zinniamast.UsageReport, error) {
+	if number >= r.since {
+		return zinniamast.UsageReport{}, zinniamast.ErrNotFound
+	}
+	return r.written(ctx, number)
+}
+
 // written returns the report that stands in the table.
 func (r *Reporter) written(ctx context.Context, number int64) (zinniamast.UsageReport, error) {
 	var report zinniamast.UsageReport
@@ -166,12 +182,8 @@
 	end := windowEnd(number, r.config.Window).UnixMilli()
 	name := strconv.FormatInt(number, 10)
 	whole := true
-	for _, item := range items {
-		var node counts
-		if err := json.Unmarshal(item.Value, &node); err != nil {
-			r.config.Logger.Warn("unreadable usage", "node", item.Key.Sort, "cause", err)
-			continue
-		}
+	nodes := r.newest(items)
+	for _, node := range nodes {
 		for organisation, count := range node.Windows[name] {
 			report.Counts[organisation] += count
 		}
@@ -181,10 +193,27 @@
 			whole = false
 		}
 	}
-	r.prune(ctx, items, number)
+	r.prune(ctx, items, nodes, number)
 	return report, whole, nil
 }
 
+// newest returns the last counts of each life of a node: one life may stand in
+// items of several writers.
+func (r *Reporter) newest(items []zinniamast.Item) map[string]Counts {
+	nodes := map[string]Counts{}
+	for _, item := range items {
+		var node Counts
+		if err := json.Unmarshal(item.Value, &node); err != nil {
+			r.config.Logger.Warn("unreadable usage", "item", item.Key.Sort, "cause", err)
+			continue
+		}
+		if known, ok := nodes[node.Node]; !ok || node.Sequence > known.Sequence {
+			nodes[node.Node] = node
+		}
+	}
+	return nodes
+}
+
 // write puts the report into the table before it is sent.
 //
 // Failure: a holder sends a report and dies; the next one, which sees counts
@@ -222,13 +251,18 @@
 	return true, nil
 }
 
-// prune removes items of nodes that are long dead, and old reports.
-func (r *Reporter) prune(ctx context.Context, items []zinniamast.Item, number int64) {
+// prune removes items of nodes that are long dead or that another item of the
+// same life has replaced, and old reports.
+func (r *Reporter) prune(ctx context.Context, items []zinniamast.Item, nodes map[string]Counts, number int64) {
 	old := windowEnd(number-keepReports, r.config.Window).UnixMilli()
+	replaced := replacedAfter * r.config.Window.Milliseconds()
 	var removals []zinniamast.Write
 	for _, item := range items {
-		var node counts
-		if json.Unmarshal(item.Value, &node) == nil && node.ThroughMS < old && len(removals) < prunedAtOnce {
+		var node Counts
+		if json.Unmarshal(item.Value, &node) != nil || len(removals) == prunedAtOnce {
+			continue
+		}
+		if node.ThroughMS < old || node.ThroughMS < nodes[node.Node].ThroughMS-replaced {
 			removals = append(removals, zinniamast.Write{
 				Item:   item,
 				Delete: true,
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,7 +94,6 @@
 		Clock:  f.clock,
 		Node:   node,
 		Window: window,
-		Nodes:  func() int { return 2 },
 		Logger: slog.New(slog.DiscardHandler),
 	})
 	return c, f.run(c.Run)
@@ -166,6 +166,64 @@
 	f.is.Equal(call.Fence, uint64(1))
 }
 
+// handedTo hands counts to another node; a dead one takes none.
+type handedTo struct {
+	counter *usage.Counter
+	dead    *atomic.Bool
+}
+
+func (h handedTo) Collect(_ context.Context, counts usage.Counts) error {
+	if h.dead.Load() {
+		return errors.New("no answer")
+	}
+	h.counter.Collect(counts)
+	return nil
+}
+
+// A node hands its counts to the writer of its failure domain. The writer is
+// killed, the node writes itself for a moment and hands them to the next
+// writer; then it is killed too. Its counts stand in items of three nodes, and
+// each request is in the report once.
+func TestCountsOutliveTheirWriter(t *testing.T) {
+	f := newFleet(t)
+	first, killFirst := f.counter("writer-1")
+	next, _ := f.counter("writer-2")
+	var dead atomic.Bool
+	var writer atomic.Value
+	writer.Store(handedTo{
+		counter: first,
+		dead:    &dead,
+	})
+	c := usage.NewCounter(usage.CounterConfig{
+		Table:  f.table(),
+		Clock:  f.clock,
+		Node:   "node",
+		Window: window,
+		Writer: func() usage.Collector { return writer.Load().(handedTo) },
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	kill := f.run(c.Run)
+	c.Began("acme")
+	time.Sleep(2500 * time.Millisecond)
+	dead.Store(true)
+	killFirst()
+	c.Began("acme")
+	f.clock.set(time.Unix(503, 0))
+	time.Sleep(1500 * time.Millisecond)
+	writer.Store(handedTo{
+		counter: next,
+		dead:    &atomic.Bool{},
+	})
+	c.Began("acme")
+	f.clock.set(time.Unix(504, 0))
+	time.Sleep(2500 * time.Millisecond)
+	kill()
+	lease, _ := f.reporter()
+	lease.set(1)
+	f.clock.set(time.Unix(512, 0))
+	f.is.Equal(f.report(100).Report.Counts, map[string]int{"acme": 3})
+}
+
 // A holder sends a report and loses the duty; afterwards a late count arrives.
 // Its successor sends the same report again and never another one.
 func TestSuccessorSendsTheSame(t *testing.T) {
