Believe that a prefix's home holds it

Homes by consistent hashing exist, but a node that has not sent a prefix there itself counted on nothing, and took any replica that was a little emptier; at 91 nodes that is nearly every request.

Change: the home of the longest anchor is believed to hold 0.7 of the prefix; the target, the slots and the reported load still decide whether it is taken.

TestNodesWithoutHistoryAgreeOnAHome shows both sides.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -137,6 +137,12 @@
 // interface, whose engines tell what they keep, loses on time by it.
 const homeCost = 1.6
 
+// homeHolds is what a prefix's home is believed to hold of it: on a calm day of
+// the first deployment 0.64 of the shared tokens were found kept without it. With
+// it the first deployment's score rose from 0.973 to 0.993, the worth of the
+// grown scale-1 at a sixth of its size from 0.467 to 0.493.
+const homeHolds = 0.7
+
 // routeRequests builds the policy that the command line names.
 func (e *Entry) routeRequests() {
 	s := e.config.Settings
@@ -153,6 +159,7 @@
 		FailureDomain: s.FailureDomain,
 		Gossip:        e.members,
 		HomeCost:      homeCost,
+		HomeHolds:     homeHolds,
 		Plain:         e.isPlain,
 		Logger:        e.config.Logger,
 		Registerer:    e.registry,
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -162,7 +162,9 @@
 
 // markHomes takes in the homes of the prompt.
 func (r *Router) markHomes(f *fleet, need *zinniamast.Need, now time.Time) {
-	for _, home := range r.homes(f, need) {
+	homes := r.homes(f, need)
+	r.deepestHome = homes[0]
+	for _, home := range homes {
 		if home == nil {
 			continue
 		}
--- /dev/null
+++ b/routing/home_test.go
@@ -0,0 +1,96 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+	"zinniamast/prefix"
+	"zinniamast/routing"
+)
+
+// Callers of a session wait for the same shared text to be read again at one
+// replica after the other: ninety nodes send a session's requests, each knows
+// only its own few, and where engines do not tell what they keep the home of a
+// prefix looks no better than any replica that is a little emptier. Believed to
+// hold most of the prefix, it is chosen by every node while it meets the target.
+func TestNodesWithoutHistoryAgreeOnAHome(t *testing.T) {
+	check := is.New(t)
+	now := newClock()
+	board := blackboard.New()
+	for i := range 8 {
+		board.Upstreams.Add(&blackboard.Upstream{
+			Instance: zinniamast.Instance{
+				ID:            fmt.Sprintf("replica-%d", i),
+				FailureDomain: domains[0],
+				Service:       "service",
+			},
+			Replica: passing{},
+			Slots:   16,
+		})
+	}
+	need := &zinniamast.Need{
+		Service:      "service",
+		PromptTokens: 6000,
+		Prefix: prefix.Parts([]prefix.Part{
+			{
+				ID:     1,
+				Tokens: 500,
+			},
+			{
+				ID:     2,
+				Tokens: 4800,
+			},
+		}),
+		FirstTokenTarget: time.Second,
+	}
+	node := func(name string, holds float64) *routing.Router {
+		return routing.New(routing.Config{
+			Board:         board,
+			Node:          name,
+			FailureDomain: domains[0],
+			HomeCost:      1.6,
+			HomeHolds:     holds,
+			Seed:          uint64(len(name)),
+			Now:           now.Now,
+		})
+	}
+	busy := func(router *routing.Router, replica string) string {
+		now.pass(time.Second)
+		router.Reported(replica, zinniamast.LoadReport{
+			At:           now.Now(),
+			Running:      5,
+			QueuedTokens: 1500,
+		})
+		choice, err := router.Route(need)
+		check.NoErr(err)
+		return choice.Upstream
+	}
+	first := node("first", 0.7)
+	home, err := first.Route(need)
+	check.NoErr(err)
+	check.Equal(busy(first, home.Upstream), home.Upstream)
+	other := node("another", 0.7)
+	_, err = other.Route(need)
+	check.NoErr(err)
+	check.Equal(busy(other, home.Upstream), home.Upstream)
+
+	without := node("without", 0)
+	_, err = without.Route(need)
+	check.NoErr(err)
+	check.True(busy(without, home.Upstream) != home.Upstream)
+
+	// A full home is passed over.
+	now.pass(time.Second)
+	first.Reported(home.Upstream, zinniamast.LoadReport{
+		At:      now.Now(),
+		Running: 16,
+	})
+	choice, err := first.Route(need)
+	check.NoErr(err)
+	check.True(choice.Upstream != home.Upstream)
+}
--- a/routing/predict.go
+++ b/routing/predict.go
@@ -103,6 +103,10 @@
 
 // expectSurprise counts on what other nodes have probably sent to a home.
 func (r *Router) expectSurprise(c *candidate, need *zinniamast.Need, now time.Time) {
+	if r.config.HomeHolds > 0 {
+		r.expectHeld(c, need, now)
+		return
+	}
 	hits, ok := r.surprise[answerKey{
 		service:  need.Service,
 		priority: need.Priority,
@@ -114,4 +118,17 @@
 	r.predict(c, need, now)
 }
 
+// expectHeld counts on what other nodes have probably sent to a home: the whole
+// prefix at the home of its longest anchor.
+func (r *Router) expectHeld(c *candidate, need *zinniamast.Need, now time.Time) {
+	if len(r.lookup.hashes) == 0 || c.replica != r.deepestHome {
+		return
+	}
+	held := int(r.config.HomeHolds * float64(r.config.BlockTokens(len(r.lookup.hashes)-1)))
+	if held > c.cached {
+		c.cached = min(held, need.PromptTokens)
+		r.predict(c, need, now)
+	}
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -41,6 +41,10 @@
 	// still be preferred; 1.2 if zero. More spares what other nodes' requests
 	// would read again, where engines do not tell what they keep.
 	HomeCost float64
+	// HomeHolds is the part of a prompt's prefix that its home is believed to hold
+	// where engines do not tell and this node has not sent it there; zero where
+	// they do.
+	HomeHolds float64
 	// Plain says whether a service answers calls and not prompts, where its
 	// replicas take requests as they are; nil means that none does.
 	Plain func(service string) bool
@@ -120,6 +124,8 @@
 	// surprise is, by service, the part of a prompt found cached at its home
 	// without any history here: what other nodes have sent there.
 	surprise map[answerKey]*average
+	// deepestHome is the home of the prompt's longest anchor, of the decision that is made.
+	deepestHome *replica
 	// lookup and candidates are reused by every decision under the lock.
 	lookup     lookup
 	candidates []candidate
