Tell pauses, waits and the store's answers, and why an entry is passed over

Cause: the histograms that an engineer on call was promised were missing, an entry of the store that cannot be read was passed over without a word, and the listener's idle time was the one configuration seen so far: where another configuration allows longer, a caller's request meets a closed connection.

Change: histograms of calls to the store by call and outcome, of the time to the first send and of each stream's longest pause; one line for each entry that names no replica to use, with its reason; idle and header bounds well above the configured ones.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -57,6 +57,7 @@
 	s := e.config.Settings
 	store := platform.NewStore(s.StoreAddress)
 	store.OnClock(e.clock.Heard)
+	store.OnCall(newStoreMetrics(e.registry).called)
 	e.table = platform.NewTable(store)
 	e.follower = registry.NewFollower(registry.FollowerConfig{
 		Source: registry.NewRelayed(registry.RelayedConfig{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,12 +58,17 @@
 )
 
 const (
-	// headerTimeout and idleTimeout bound callers. They are the figures of every
-	// configuration seen so far; net/http cannot change them while it serves.
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 15 * time.Second
-	// maxHeaderBytes bounds a caller's headers; net/http adds 4 KB of slack.
-	maxHeaderBytes = 16 << 10
+	// headerTimeout and idleTimeout bound callers. net/http cannot change them
+	// while it serves, and the configuration may name other figures: 3 s and 15 s
+	// so far.
+	//
+	// Failure: callers use a connection again up to four fifths of the configured
+	// idle time; one that is closed earlier meets their request, which is lost.
+	// Bounds well above any configured ones cost some idle connections.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxHeaderBytes bounds a caller's headers likewise; 16 KB are configured.
+	maxHeaderBytes = 64 << 10
 	// replicaDialTimeout bounds a connect; a live replica takes some four
 	// milliseconds. A lost first packet is sent again after a second: another
 	// replica is the quicker way.
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -35,6 +35,10 @@
 	// and events counts all of them.
 	last   []byte
 	events int
+	// longest is the longest pause between two writes of events, and wrote when the
+	// last one was.
+	longest time.Duration
+	wrote   time.Time
 	// flush sends what was written; it is made once, so that an event allocates nothing.
 	flush func() error
 
@@ -199,6 +203,11 @@
 		a.flush = http.NewResponseController(a.writer).Flush
 		a.began = true
 	}
+	now := time.Now()
+	if !a.wrote.IsZero() {
+		a.longest = max(a.longest, now.Sub(a.wrote))
+	}
+	a.wrote = now
 	if _, err := a.writer.Write(data); err != nil {
 		return err
 	}
@@ -244,6 +253,9 @@
 // finished notes a request that a replica has answered.
 func (h *Handler) finished(a *answer, c *call, upstream *blackboard.Upstream) {
 	h.metrics.answered.WithLabelValues(statusClass(a.status)).Inc()
+	if a.events > 0 {
+		h.metrics.pause.Observe(a.longest.Seconds())
+	}
 	h.config.Logger.Info("answered", "request", c.ask.ID, "service", c.service, "replica", upstream.Instance.ID,
 		"status", a.status, "sends", c.sends, "arrivals", c.arrivals, "last_event", string(a.last),
 		"elapsed", time.Since(c.arrived).Round(time.Millisecond))
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -11,14 +11,30 @@
 	refused  *prometheus.CounterVec
 	again    *prometheus.CounterVec
 	first    prometheus.Histogram
+	pause    prometheus.Histogram
+	queued   prometheus.Histogram
 }
 
 // firstBuckets are the bounds of the first answer's histogram, in seconds.
 var firstBuckets = []float64{.01, .03, .1, .2, .4, .8, 1.6, 3.2, 6.4}
 
+// queuedBuckets are the bounds of the time before a request is sent, in seconds:
+// its body is read and its organisation's pool is asked.
+var queuedBuckets = []float64{.001, .003, .01, .03, .1, .3, 1}
+
 func newMetrics(registerer prometheus.Registerer) *metrics {
 	factory := promauto.With(registerer)
 	m := &metrics{
+		pause: factory.NewHistogram(prometheus.HistogramOpts{
+			Name:    "zinniamast_forward_pause_seconds",
+			Help:    "Longest pause between two events of an answered stream.",
+			Buckets: firstBuckets,
+		}),
+		queued: factory.NewHistogram(prometheus.HistogramOpts{
+			Name:    "zinniamast_forward_queued_seconds",
+			Help:    "Time from a request's arrival to its first send.",
+			Buckets: queuedBuckets,
+		}),
 		answered: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_forward_answered_total",
 			Help: "Requests answered by a replica, by the class of the status.",
--- a/forward/run.go
+++ b/forward/run.go
@@ -43,6 +43,9 @@
 			h.giveUp(ctx, a, c, refusal)
 			return
 		}
+		if c.arrivals == 0 && dials == 0 {
+			h.metrics.queued.Observe(time.Since(c.arrived).Seconds())
+		}
 		failure := h.attempt(ctx, a, c, upstream)
 		if failure == nil {
 			h.finished(a, c, upstream)
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -251,6 +251,9 @@
 		}
 		f.seen[change.ID] = change.Version
 		f.shared.keep(change)
+		if change.Unreadable != "" {
+			f.config.Logger.Warn("unreadable entry", "replica", change.ID, "version", change.Version, "cause", change.Unreadable)
+		}
 		if change.Replica == nil {
 			vanished = append(vanished, change.ID)
 			continue
--- a/registry/source.go
+++ b/registry/source.go
@@ -40,6 +40,8 @@
 	Version uint64
 	// Replica is nil where the entry is gone or names no replica to use.
 	Replica *Replica
+	// Unreadable says why an entry that is there names no replica to use.
+	Unreadable string
 }
 
 // Replica is what an entry says of one start of a replica.
