Keep replicas that are starting when cheaper ones are asked for again

While reclaimable ones are asked for again the plan filled each failure domain's limit with them, which left no room for what was starting. Eight replicas of 24 served for ten seconds.

Ruled out: the demand (659 running requests were seen), the store's answers.

Change: what is starting or there of the dearer market takes its part of a failure domain's limit before reclaimable ones are planned, until they are there.

Test: TestStartingReplicasStayAtTheLimit failed before.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -57,70 +57,70 @@
 // Plan returns how many replicas each place shall have.
 func Plan(s State) map[Place]int {
 	scaling := s.Service.Scaling
-	want := s.Needed
 	plan := map[Place]int{}
 	domains := byPrice(s)
+	held := heldOver(domains, s)
+	want := s.Needed
 	if scaling.SpotPrice > 0 {
-		want -= spread(plan, domains, zinniamast.Reclaimable, want, s)
+		want -= spread(plan, domains, zinniamast.Reclaimable, want, s, held)
+	}
+	for domain, count := range held {
+		plan[onDemand(domain)] = count
+		want -= count
 	}
 	if want > 0 {
-		spread(plan, domains, zinniamast.OnDemand, want, s)
+		spread(plan, domains, zinniamast.OnDemand, want, s, nil)
 	}
-	holdOver(plan, domains, s)
 	for _, domain := range domains {
-		reclaimable := Place{
-			FailureDomain: domain,
-			Market:        zinniamast.Reclaimable,
-		}
-		onDemand := Place{
-			FailureDomain: domain,
-			Market:        zinniamast.OnDemand,
-		}
 		// The least number holds for both markets together.
-		short := scaling.Min - plan[reclaimable] - plan[onDemand]
+		short := scaling.Min - plan[reclaimable(domain)] - plan[onDemand(domain)]
 		if short > 0 {
-			plan[onDemand] += short
+			plan[onDemand(domain)] += short
 		}
-		plan[reclaimable] += 0
-		plan[onDemand] += 0
+		plan[reclaimable(domain)] += 0
+		plan[onDemand(domain)] += 0
 	}
 	return plan
 }
 
-// holdOver keeps replicas of the dearer market, also those that are starting,
-// until the cheaper ones that take their place are there.
+func reclaimable(domain string) Place {
+	return Place{
+		FailureDomain: domain,
+		Market:        zinniamast.Reclaimable,
+	}
+}
+
+func onDemand(domain string) Place {
+	return Place{
+		FailureDomain: domain,
+		Market:        zinniamast.OnDemand,
+	}
+}
+
+// heldOver returns how many replicas of the dearer market each failure domain
+// keeps, those that are starting included, until cheaper ones in their place
+// are there.
 //
-// Load: reclaimable ones are refused for some seconds. Each time they are
-// asked for again the plan counts on them; giving the dearer ones back at that
-// moment and ordering them anew at the refusal starts replicas that never serve.
-func holdOver(plan map[Place]int, domains []string, s State) {
-	here, planned := 0, 0
+// Load: reclaimable ones are refused for some seconds, and asked for again. The
+// plan counts on them each time. Where they fill a failure domain's limit, or
+// the dearer ones were given back at that moment, replicas that had been started
+// four seconds ago were stopped before they served: in a crowd that wanted 24
+// replicas eight were there for ten seconds.
+func heldOver(domains []string, s State) map[string]int {
+	missing := s.Needed
 	for _, domain := range domains {
-		here += s.Present[Place{
-			FailureDomain: domain,
-			Market:        zinniamast.Reclaimable,
-		}]
-		planned += plan[Place{
-			FailureDomain: domain,
-			Market:        zinniamast.OnDemand,
-		}]
+		missing -= s.Present[reclaimable(domain)]
 	}
-	missing := s.Needed - here - planned
+	held := map[string]int{}
 	for _, domain := range domains {
-		place := Place{
-			FailureDomain: domain,
-			Market:        zinniamast.OnDemand,
-		}
-		room := s.Service.Scaling.Max - plan[place] - plan[Place{
-			FailureDomain: domain,
-			Market:        zinniamast.Reclaimable,
-		}]
-		kept := min(missing, max(s.Present[place], s.Ordered[place])-plan[place], room)
-		if kept > 0 {
-			plan[place] += kept
+		known := max(s.Present[onDemand(domain)], s.Ordered[onDemand(domain)])
+		room := s.Service.Scaling.Max - s.Present[reclaimable(domain)]
+		if kept := min(missing, known, room); kept > 0 {
+			held[domain] = kept
 			missing -= kept
 		}
 	}
+	return held
 }
 
 // needed is how many replicas the demand needs, all failure domains together,
@@ -152,8 +152,9 @@
 }
 
 // spread places replicas of one market evenly, in turns that begin with the
-// cheapest, and returns how many it placed.
-func spread(plan map[Place]int, domains []string, market zinniamast.Market, want int, s State) int {
+// cheapest, and returns how many it placed. What a failure domain holds of the
+// other market takes its part of the limit.
+func spread(plan map[Place]int, domains []string, market zinniamast.Market, want int, s State, held map[string]int) int {
 	placed := 0
 	for round := 1; placed < want && round <= s.Service.Scaling.Max; round++ {
 		for _, domain := range domains {
@@ -165,7 +166,7 @@
 				FailureDomain: domain,
 				Market:        otherMarket(market),
 			}
-			if placed == want || plan[place]+plan[other] >= s.Service.Scaling.Max {
+			if placed == want || plan[place]+max(plan[other], held[domain]) >= s.Service.Scaling.Max {
 				continue
 			}
 			if s.Refused[place] && plan[place] >= s.Present[place] {
--- a/scaling/plan_test.go
+++ b/scaling/plan_test.go
@@ -118,6 +118,34 @@
 	check.Equal(total(plan, zinniamast.OnDemand), 0)
 }
 
+// Callers wait through a crowd at a third of the replicas that it needs. All
+// failure domains are at their limit, with on-demand replicas that start in
+// place of reclaimed ones; reclaimable ones are asked for again and would fill
+// the limit alone. Those that start are not given back for a hope.
+func TestStartingReplicasStayAtTheLimit(t *testing.T) {
+	check := is.New(t)
+	state := scaling.State{
+		Service: service(),
+		Domains: domains,
+		Needed:  24,
+		Present: map[scaling.Place]int{
+			place("a", zinniamast.Reclaimable): 3,
+			place("c", zinniamast.Reclaimable): 2,
+		},
+		Ordered: map[scaling.Place]int{
+			place("a", zinniamast.OnDemand): 3,
+			place("b", zinniamast.OnDemand): 6,
+			place("c", zinniamast.OnDemand): 4,
+			place("d", zinniamast.OnDemand): 6,
+		},
+	}
+	plan := scaling.Plan(state)
+	for _, domain := range domains {
+		at := place(domain, zinniamast.OnDemand)
+		check.Equal(plan[at], state.Ordered[at])
+	}
+}
+
 // Whatever is needed, present or refused, each failure domain has its least
 // number and no more than its most, of both markets together.
 func TestPlanKeepsToTheLimits(t *testing.T) {
