--- a/reports/reports_test.go
+++ b/reports/reports_test.go
@@ -99,6 +99,17 @@
 	return nil
 }
 
+// play runs a test on a deployment in virtual time.
+func play(t *testing.T, each int, test func(check *is.I, d *deployment)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		test(is.New(t), newDeployment(ctx, each))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func newDeployment(ctx context.Context, each int) *deployment {
 	d := &deployment{
 		replicas: &replicas{
@@ -156,10 +167,7 @@
 // the others have sent there. Each replica is asked by one node only, and
 // within half a second every node of both failure domains knows.
 func TestEveryNodeKnowsAndOneAsks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		check := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		d := newDeployment(ctx, 4)
+	play(t, 4, func(check *is.I, d *deployment) {
 		d.nodes[2].demand.Entered("models", 1000)
 		time.Sleep(3 * time.Second)
 		d.replicas.set(7)
@@ -172,8 +180,8 @@
 				check.True(time.Since(report.At) < 600*time.Millisecond)
 			}
 		}
-		cancel()
-		synctest.Wait()
+		d.replicas.mu.Lock()
+		defer d.replicas.mu.Unlock()
 		check.True(d.replicas.asked["replica-burnaby-a"] <= 13) // 3.5 s at one each 0.3 s
 	})
 }
@@ -182,10 +190,7 @@
 // hears of the whole of it within a second. While it heard of its own failure
 // domain alone, a quarter of the replicas needed were ordered.
 func TestEveryNodeKnowsTheWholeDemand(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		check := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		d := newDeployment(ctx, 3)
+	play(t, 3, func(check *is.I, d *deployment) {
 		for second := range 10 {
 			for _, n := range d.nodes {
 				for range 20 {
@@ -210,8 +215,6 @@
 		}
 		time.Sleep(4 * time.Second)
 		check.True(d.nodes[0].demand.Of("models").Running < 65)
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -219,10 +222,7 @@
 // by what it said last. The next node reads within two seconds, and nobody
 // takes an older report for a newer one.
 func TestReaderDies(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		check := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		d := newDeployment(ctx, 3)
+	play(t, 3, func(check *is.I, d *deployment) {
 		time.Sleep(2 * time.Second)
 		d.nodes[0].dead.Store(true)
 		d.replicas.set(9)
@@ -230,18 +230,13 @@
 		for _, n := range d.nodes[1:] {
 			check.Equal(n.knows("replica-burnaby-a").Running, 9)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Replicas go silent: questions end by their timeout, and what was known is not
 // told as if it were new.
 func TestSilentReplicasTellNothingNew(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		check := is.New(t)
-		ctx, cancel := context.WithCancel(t.Context())
-		d := newDeployment(ctx, 2)
+	play(t, 2, func(check *is.I, d *deployment) {
 		time.Sleep(2 * time.Second)
 		d.replicas.mu.Lock()
 		d.replicas.silent = true
@@ -250,8 +245,6 @@
 		for _, n := range d.nodes {
 			check.True(time.Since(n.knows("replica-surrey-b").At) > 3*time.Second)
 		}
-		cancel()
-		synctest.Wait()
 	})
 }
 
