--- a/processtest/fleet.go
+++ b/processtest/fleet.go
@@ -208,8 +208,8 @@
 		FailureDomain: domain,
 		PeerKeys:      []string{f.peerKey},
 		OperatorKeys:  []string{f.operatorKey},
-		listen:        freeAddress(f.tb),
-		peerListen:    freeAddress(f.tb),
+		listen:        FreeAddress(f.tb),
+		peerListen:    FreeAddress(f.tb),
 	}
 	n.Direct = "http://" + n.listen
 	n.Callers = NewLink(f.tb, name+"-callers", n.listen)
@@ -238,7 +238,7 @@
 	f.tb.Helper()
 	twin := *n
 	twin.Name = n.Name + "-twin"
-	twin.listen = freeAddress(f.tb)
+	twin.listen = FreeAddress(f.tb)
 	return Start(f.tb, twin.Name, "node", "-settings", f.writeSettings(&twin))
 }
 
--- a/processtest/operate.go
+++ b/processtest/operate.go
@@ -114,11 +114,11 @@
 	f.tb.Helper()
 	stranger := *f.Nodes[0]
 	stranger.Name = "stranger"
-	stranger.listen = freeAddress(f.tb)
-	stranger.peerListen = freeAddress(f.tb)
+	stranger.listen = FreeAddress(f.tb)
+	stranger.peerListen = FreeAddress(f.tb)
 	stranger.Peers = NewLink(f.tb, "stranger-peers", stranger.peerListen)
 	// It has no way to the platform either.
-	stranger.Platform = NewLink(f.tb, "stranger-platform", freeAddress(f.tb))
+	stranger.Platform = NewLink(f.tb, "stranger-platform", FreeAddress(f.tb))
 	f.SetKeys(&stranger, []string{key}, []string{key})
 	f.StartNode(&stranger)
 	return &stranger
--- a/processtest/port.go
+++ b/processtest/port.go
@@ -19,8 +19,8 @@
 
 var nextPort atomic.Int64
 
-// freeAddress returns host:port on which nothing listens.
-func freeAddress(tb testing.TB) string {
+// FreeAddress returns host:port on which nothing listens.
+func FreeAddress(tb testing.TB) string {
 	tb.Helper()
 	begin := int64(os.Getpid()) * portsPerRun
 	for range ports {
--- /dev/null
+++ b/soak/deployment.go
@@ -0,0 +1,190 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"zinniamast/processtest"
+	"zinniamast/standin/replica"
+	"zinniamast/standin/store"
+)
+
+// The failure domains of a deployment.
+var failureDomains = []string{"burnaby-a", "surrey-b"}
+
+// The deployment's routes, and the caller's key.
+const (
+	host        = "models.example"
+	safePath    = "/lookup/x"
+	unsafePath  = "/book/x"
+	key         = "k"
+	replicasFor = 3 // of the service, in each failure domain
+)
+
+// deployment is some entry instances before stand-ins.
+type deployment struct {
+	tb       testing.TB
+	store    *store.Store
+	nodes    []*node
+	replicas []*replica.Replica
+	links    []*processtest.Link
+	// requests counts what callers have sent.
+	requests atomic.Int64
+}
+
+// nextID names a request.
+func (d *deployment) nextID() string { return fmt.Sprintf("r-%d", d.requests.Add(1)) }
+
+// sent says whether a request of this name was sent.
+func (d *deployment) sent(id string) bool {
+	number, err := strconv.ParseInt(strings.TrimPrefix(id, "r-"), 10, 64)
+	return err == nil && number <= d.requests.Load()
+}
+
+// node is one entry instance.
+type node struct {
+	name     string
+	settings string
+	frontend string
+	ready    string
+	store    *processtest.Link
+	process  *processtest.Process
+}
+
+// newDeployment starts so many instances, replicas behind links, and a store
+// behind a link for each instance.
+func newDeployment(tb testing.TB, instances int) *deployment {
+	tb.Helper()
+	d := &deployment{
+		tb:    tb,
+		store: store.New(),
+	}
+	tb.Cleanup(d.store.Close)
+	d.store.Put("op", "config", []byte(configuration))
+	for i := range replicasFor * len(failureDomains) {
+		d.addReplica(fmt.Sprintf("i-%d", i), failureDomains[i%len(failureDomains)])
+	}
+	directory := tb.TempDir()
+	var seeds []string
+	for i := range instances {
+		n := &node{
+			name:     fmt.Sprintf("edge-%d", i),
+			frontend: processtest.FreeAddress(tb),
+			ready:    processtest.FreeAddress(tb),
+			settings: filepath.Join(directory, fmt.Sprintf("edge-%d.toml", i)),
+			store:    processtest.NewLink(tb, fmt.Sprintf("store-of-edge-%d", i), d.store.Address()),
+		}
+		peer := processtest.FreeAddress(tb)
+		if i < 2 {
+			seeds = append(seeds, peer)
+		}
+		text := fmt.Sprintf(settings, n.name, failureDomains[i%len(failureDomains)], "["+quoted(seeds)+"]",
+			n.frontend, n.ready, peer, n.store.Address())
+		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+			tb.Fatal(err)
+		}
+		d.nodes = append(d.nodes, n)
+	}
+	for _, n := range d.nodes {
+		d.start(n)
+	}
+	for _, n := range d.nodes {
+		d.waitReady(n)
+	}
+	return d
+}
+
+func quoted(addresses []string) string {
+	var all []string
+	for _, address := range addresses {
+		all = append(all, fmt.Sprintf("%q", address))
+	}
+	return strings.Join(all, ",")
+}
+
+// configuration has a route of each kind on one service.
+const configuration = `{"version":1,
+	"routes":[
+		{"name":"lookup","hostname":"models.example","prefix":"/lookup/","routeType":"safe","timeoutMs":3000,"sloMs":150,"service":"svc","maxAttempts":2},
+		{"name":"book","hostname":"models.example","prefix":"/book/","routeType":"unsafe","timeoutMs":3000,"sloMs":150,"service":"svc","maxAttempts":1}],
+	"services":[{"name":"svc"}],
+	"limits":{"maxBodyBytes":4096},
+	"tenants":[{"name":"acme","apiKeys":["k"],"ratePerS":100000,"burst":100000}]}`
+
+// settings is an instance's file in the platform's format.
+const settings = `nodeName = %q
+ip = "127.0.0.1"
+zone = %q
+seeds = %s
+[zones]
+burnaby-a = "bc"
+surrey-b = "bc"
+[listen]
+frontend = %q
+ready = %q
+controlPlane = %q
+[limits]
+cpuShare = 0.4
+memoryMb = 284
+[bounds]
+graceS = 8
+retryRatio = 0.2
+retryWindowS = 10
+retrySlack = 58
+quotaWindowS = 8
+quotaOverage = 0.1
+quotaSlack = 140000
+leaseMs = 3000
+windowS = 5
+usageLateS = 10
+[platform]
+address = %q
+[cloud]
+address = "127.0.0.1:1"
+`
+
+// addReplica starts a replica behind a link and enters it into the store.
+func (d *deployment) addReplica(id, domain string) {
+	r := replica.New(id)
+	d.tb.Cleanup(r.Close)
+	link := processtest.NewLink(d.tb, id, r.Address())
+	d.replicas = append(d.replicas, r)
+	d.links = append(d.links, link)
+	d.store.Put("servers", id, fmt.Appendf(nil,
+		`{"service":"svc","address":%q,"zone":%q,"state":"ready","slots":16,"born":1}`, link.Address(), domain))
+}
+
+func (d *deployment) start(n *node) {
+	n.process = processtest.Start(d.tb, n.name, "entry", "-settings", n.settings)
+}
+
+// readyWithin is how long an instance may take to be ready after its start.
+const readyWithin = 10 * time.Second
+
+func (d *deployment) waitReady(n *node) {
+	d.tb.Helper()
+	for deadline := time.Now().Add(readyWithin); !n.isReady(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			d.tb.Fatalf("%s is not ready within %v", n.name, readyWithin)
+		}
+	}
+}
+
+func (n *node) isReady() bool {
+	client := http.Client{
+		Timeout: time.Second,
+	}
+	response, err := client.Get("http://" + n.ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -20,6 +20,8 @@
 	Target string
 	Header http.Header
 	Body   string
+	// Refused says that the replica turned it away and did not run it.
+	Refused bool
 	// Left is set once the caller's side closed the connection before the answer's end.
 	Left chan struct{}
 }
@@ -138,6 +140,7 @@
 	}
 	r.mu.Lock()
 	b := r.behaviour
+	run.Refused = b.NotRun || b.Elsewhere || run.Header.Get("Zinniamast-Expect-Instance") != r.ID
 	r.runs = append(r.runs, run)
 	r.mu.Unlock()
 	stop := make(chan struct{})
