--- a/routing/circuit.go
+++ b/routing/circuit.go
@@ -58,8 +58,18 @@
 	c.until = time.Time{}
 }
 
-// fail counts blame and reports whether the circuit opens.
-func (c *circuit) fail(weight int, now time.Time) bool {
+// fail counts blame of a send that began at a time, and reports whether the
+// circuit opens.
+//
+// Failure: a failure domain is cut off for five seconds. Sends that were on their
+// way to one of its replicas fail one after the other, each opens the circuit
+// anew for twice as long, and the replica stays shunned for half a minute after
+// it is reached again. An opening answers all sends that began before it ended;
+// only a probe after it tells something new.
+func (c *circuit) fail(weight int, began, now time.Time) bool {
+	if began.Before(c.until) {
+		return false
+	}
 	c.score += weight
 	enough := openAt
 	if now.Before(c.word) {
@@ -77,12 +87,12 @@
 
 // failed counts a failure against the replica, and shuns it unless the node
 // shuns too many already.
-func (r *Router) failed(p *replica, failure zinniamast.Failure, now time.Time) {
+func (r *Router) failed(p *replica, failure zinniamast.Failure, began, now time.Time) {
 	weight := blame(failure)
 	if weight == 0 {
 		return
 	}
-	if !p.circuit.fail(weight, now) {
+	if !p.circuit.fail(weight, began, now) {
 		return
 	}
 	if !r.mayShun(p.upstream.Instance.Service, now) {
--- a/routing/observe.go
+++ b/routing/observe.go
@@ -119,7 +119,7 @@
 		r.learn(a, o, running, now)
 	} else {
 		a.learnStopped(o, now)
-		r.failed(p, o.Failure, now)
+		r.failed(p, o.Failure, a.started, now)
 	}
 	r.spare = append(r.spare, a)
 }
