Send no new work to a replica that has stopped telling its load

One node of each failure domain asks each replica each 0.3 s: one whose report is over a second older than its neighbours' comes after all others now. Where all of a domain are silent, whoever asks may be cut off, and nothing changes. TestSilentReplicaGetsNoNewRequests fails without.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -135,10 +135,10 @@
 	best := 0
 	for i := range candidates {
 		c, b := &candidates[i], &candidates[best]
-		if c.rank == rankShunned && b.rank != rankShunned {
+		if c.rank >= rankSilent && b.rank < rankSilent {
 			continue
 		}
-		if c.running < b.running || b.rank == rankShunned && c.rank != rankShunned {
+		if c.running < b.running || b.rank >= rankSilent && c.rank < rankSilent {
 			best = i
 		}
 	}
--- a/routing/explain.go
+++ b/routing/explain.go
@@ -88,6 +88,7 @@
 	rankOnTime:  "misses the target, meets the deadline",
 	rankLate:    "misses the deadline",
 	rankUnfit:   "leaves too soon or has not loaded the model",
+	rankSilent:  "tells no load while others do",
 	rankShunned: "circuit open",
 }
 
--- a/routing/fetch.go
+++ b/routing/fetch.go
@@ -32,7 +32,7 @@
 	source := -1
 	for i := range r.candidates {
 		c := &r.candidates[i]
-		if c.rank < rankShunned && (source < 0 || c.cached > r.candidates[source].cached) {
+		if c.rank < rankSilent && (source < 0 || c.cached > r.candidates[source].cached) {
 			source = i
 		}
 	}
@@ -65,7 +65,7 @@
 	var best *candidate
 	for i := range r.candidates {
 		c := &r.candidates[i]
-		if c == chosen || c.rank >= rankShunned || c.cached == 0 && !c.home {
+		if c == chosen || c.rank >= rankSilent || c.cached == 0 && !c.home {
 			continue
 		}
 		if best == nil || c.cached > best.cached {
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -138,6 +138,7 @@
 	fresh := newReplica(upstream, r.serial, r.distance(upstream.Instance.FailureDomain), plain)
 	fresh.speed = r.speed(upstream, plain)
 	fresh.price = r.price(upstream)
+	fresh.told = r.toldOf(upstream.Instance)
 	r.replicas[id] = fresh
 	r.bySerial[fresh.serial] = fresh
 	r.byHash[fresh.short()] = fresh
--- a/routing/predict.go
+++ b/routing/predict.go
@@ -19,6 +19,8 @@
 	// rankUnfit: the replica leaves before the answer would end, or has not
 	// loaded the model.
 	rankUnfit
+	// rankSilent: it tells no load, while others of its failure domain do.
+	rankSilent
 	// rankShunned: the circuit is open.
 	rankShunned
 )
@@ -86,6 +88,8 @@
 	switch {
 	case p.circuit.open(now):
 		return rankShunned
+	case p.silent():
+		return rankSilent
 	case p.report.missing && p.report.weight(now) > 0:
 		return rankUnfit
 	case p.leavesBefore(end):
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -30,6 +30,8 @@
 	own    ownLoad
 	remote remoteLoad
 	report reported
+	// told is shared with the other replicas of its failure domain.
+	told *told
 
 	cache   cacheState
 	circuit circuit
--- a/routing/report.go
+++ b/routing/report.go
@@ -18,6 +18,7 @@
 	if !ok || !report.At.After(p.report.at) {
 		return
 	}
+	p.told.newest = later(p.told.newest, report.At)
 	running, queued := p.own.before(report.At)
 	p.report = reported{
 		at:      report.At,
@@ -27,6 +28,51 @@
 	}
 }
 
+// told is when a replica of one service and failure domain last told its load.
+type told struct {
+	newest time.Time
+}
+
+// toldKey names what shares a told.
+type toldKey struct {
+	service       string
+	failureDomain string
+}
+
+func (r *Router) toldOf(instance zinniamast.Instance) *told {
+	key := toldKey{
+		service:       instance.Service,
+		failureDomain: instance.FailureDomain,
+	}
+	known, ok := r.told[key]
+	if !ok {
+		known = &told{}
+		r.told[key] = known
+	}
+	return known
+}
+
+// silentAfter is how much older than another's a replica's report must be: each
+// is asked several times in that time.
+const silentAfter = time.Second
+
+// silent says whether a replica tells its load no more, while others of its
+// failure domain do. Where none does, whoever asks them may be the one that is cut off.
+//
+// Failure: a replica goes dark without a reset. Requests that may not be repeated
+// wait there until their deadline, and until the first of these has passed, no
+// send has failed: a quarter of all prompts went on to be lost for seconds.
+func (p *replica) silent() bool {
+	return !p.report.at.IsZero() && p.told.newest.Sub(p.report.at) > silentAfter
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // eventLag is how late a cache event may come. An eviction of a prefix used
 // here since then is not believed: it may tell of a time before that use.
 const eventLagTokens = 20_000
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -120,6 +120,7 @@
 	spare    []*attempt
 	history  *history
 	heard    map[string]*heardLoad
+	told     map[toldKey]*told
 	targets  targets
 	// circuitNews waits to be published without the lock.
 	circuitNews []zinniamast.News
@@ -157,6 +158,7 @@
 		attempts: map[string]*attempt{},
 		history:  newHistory(config.HistoryBlocks),
 		heard:    map[string]*heardLoad{},
+		told:     map[toldKey]*told{},
 		explain: explanations{
 			ring: make([]decision, config.Explained),
 		},
--- /dev/null
+++ b/routing/silent_test.go
@@ -0,0 +1,64 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+)
+
+// Callers of streams that may not be repeated get nothing until their deadline.
+// One of two replicas goes dark without a reset, and since its requests do not
+// end, none has failed yet; it looks as idle as before. It tells no load any
+// more while its neighbour does, so that new requests go to the neighbour. Once
+// both are silent, whoever reads their load may be cut off, and both are used.
+func TestSilentReplicaGetsNoNewRequests(t *testing.T) {
+	check := is.New(t)
+	now := newClock()
+	board := blackboard.New()
+	for _, id := range []string{"dark", "well"} {
+		board.Upstreams.Add(&blackboard.Upstream{
+			Instance: zinniamast.Instance{
+				ID:            id,
+				FailureDomain: domains[0],
+				Service:       "service",
+			},
+			Replica: passing{},
+			Slots:   16,
+		})
+	}
+	router := newRouter(now, board, newBus(), "node")
+	need := &zinniamast.Need{
+		Service:      "service",
+		PromptTokens: 500,
+	}
+	report := func(id string, running int) {
+		router.Reported(id, zinniamast.LoadReport{
+			At:      now.Now(),
+			Running: running,
+		})
+	}
+	_, err := router.Route(need)
+	check.NoErr(err)
+	report("dark", 0)
+	for range 4 {
+		now.pass(300 * time.Millisecond)
+		report("well", 8)
+	}
+	for range 20 {
+		choice, err := router.Route(need)
+		check.NoErr(err)
+		check.Equal(choice.Upstream, "well")
+	}
+	report("dark", 0)
+	choice, err := router.Route(need)
+	check.NoErr(err)
+	check.Equal(choice.Upstream, "dark")
+	now.pass(5 * time.Second)
+	choice, err = router.Route(need)
+	check.NoErr(err)
+	check.Equal(choice.Upstream, "dark")
+}
