Tell a starting instance the roster while the store is silent

The neighbour that told the configuration is asked for the roster too. TestStartWhileTheStoreIsSilent asks for a served request too.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -270,5 +270,6 @@
 	})
 	f.launch("edge-2", f.at["edge-1"].Peer)
 	f.within(time.Second, "ready by its neighbour", func() bool { return f.ready("edge-2") })
+	f.served("edge-2", "/pay/x")
 	f.store.SetFault(store.Fault{})
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -181,5 +181,8 @@
 		if !e.follower.Ready() {
 			e.borrowFrom(ctx, address)
 		}
+		if len(e.roster.Instances()) == 0 {
+			e.borrowRoster(ctx, address)
+		}
 	}()
 }
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -47,16 +47,8 @@
 
 // readRoster hears the roster from the failure domain's reader, or reads it.
 func (e *Entry) readRoster(ctx context.Context) error {
-	if reader, ok := e.reader(); ok {
-		asked, cancel := context.WithTimeout(ctx, relayTimeout)
-		defer cancel()
-		var entries []roster.Entry
-		err := e.pool.Call(asked, reader.address, relayName+".Roster", struct{}{}, &entries)
-		if err == nil && len(entries) > 0 {
-			e.roster.Keep(entries)
-			return nil
-		}
-		e.config.Logger.Debug("roster not told", "peer", reader.address, "cause", err)
+	if reader, ok := e.reader(); ok && e.borrowRoster(ctx, reader.address) {
+		return nil
 	}
 	if _, err := e.roster.Read(ctx); err != nil {
 		return err
@@ -65,6 +57,23 @@
 	return nil
 }
 
+// borrowRoster hears the roster from a peer and says whether it knew one.
+//
+// Failure: an instance starts while the store is silent. Until its own reading
+// has timed out it knows of no other and takes a small fixed part of each
+// allowance for its own: callers well within theirs were refused for seconds.
+func (e *Entry) borrowRoster(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	var entries []roster.Entry
+	if err := e.pool.Call(ctx, address, relayName+".Roster", struct{}{}, &entries); err != nil || len(entries) == 0 {
+		e.config.Logger.Debug("roster not told", "peer", address, "cause", err)
+		return false
+	}
+	e.roster.Keep(entries)
+	return true
+}
+
 // isAlive says whether an instance of this failure domain is heard of.
 func (e *Entry) isAlive(id string) bool {
 	member, known := e.board.Members.Get(id)
