--- a/entry/peers.go
+++ b/entry/peers.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -126,9 +127,12 @@
 	// borrowTimeout bounds one such question; another peer answers sooner than one
 	// that is about to stop.
 	borrowTimeout = 500 * time.Millisecond
+	// askedAtOnce bounds the peers asked at a time: the answer of each names all
+	// replicas, and in a large fleet there are hundreds of peers.
+	askedAtOnce = 3
 )
 
-// borrow asks all peers for the replicas until this node knows some.
+// borrow asks some peers at a time for the replicas until this node knows them.
 //
 // Failure: instances are restarted in turn while the store is away. One that
 // starts has the configuration from a neighbour at once, and callers come; it
@@ -137,11 +141,8 @@
 func (e *Entry) borrow(ctx context.Context) {
 	for !e.follower.Ready() {
 		var asked sync.WaitGroup
-		for _, member := range e.board.Members.All() {
-			if member.ID == e.config.Settings.Instance || member.Dead {
-				continue
-			}
-			asked.Go(func() { e.borrowFrom(ctx, member.Address) })
+		for _, address := range e.somePeers() {
+			asked.Go(func() { e.borrowFrom(ctx, address) })
 		}
 		asked.Wait()
 		select {
@@ -152,6 +153,18 @@
 	}
 }
 
+// somePeers draws the addresses of a few living peers.
+func (e *Entry) somePeers() []string {
+	var addresses []string
+	for _, member := range e.board.Members.All() {
+		if member.ID != e.config.Settings.Instance && !member.Dead && !member.Leaving {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), askedAtOnce)]
+}
+
 func (e *Entry) borrowFrom(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
