Let a few sized requests not stand for all when ordering replicas

Cause (reading the diff): while few requests are sized, the work was scaled up by the part that is known; one long prompt of a hundred stood for all and could order the most that may be ordered for two start times. The work counts from a quarter on; until then what was found is wanted. TestOneSizedPromptDoesNotStandForAll fails without. Not measured apart: it acts in the first seconds of a holder alone.

--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -34,8 +34,6 @@
 	// Failure: replicas enter themselves in the list within a second or two. The
 	// least number, ordered before they were seen, took the others away.
 	settleFor = 2 * time.Second
-	// knownPart of the requests must have been sized before a holder goes by them.
-	knownPart = 0.25
 	// unknownStart stands for a service that does not say how long its replicas
 	// take to start.
 	unknownStart = 4 * time.Second
--- a/scaling/demand_test.go
+++ b/scaling/demand_test.go
@@ -103,8 +103,8 @@
 }
 
 // play runs a controller for ten seconds before the callers come and for ten
-// seconds with them; each request takes work from a replica.
-func play(t *testing.T, slots int, perSecond float64, work time.Duration, look func(m *market)) {
+// seconds with them; each request takes work from a replica, zero where unknown.
+func play(t *testing.T, slots int, perSecond float64, work func(request int) time.Duration, look func(m *market)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		board := blackboard.New()
@@ -141,9 +141,9 @@
 		time.Sleep(time.Second)
 		found(board, 9)
 		time.Sleep(9 * time.Second)
-		for range int(10 * perSecond) {
+		for request := range int(10 * perSecond) {
 			d.Entered("svc", 1000)
-			d.Sent("svc", work)
+			d.Sent("svc", work(request))
 			d.Left("svc")
 			time.Sleep(time.Duration(float64(time.Second) / perSecond))
 		}
@@ -151,13 +151,18 @@
 	})
 }
 
+// always is the same work for each request.
+func always(work time.Duration) func(int) time.Duration {
+	return func(int) time.Duration { return work }
+}
+
 // Callers send long prompts, few at a time, to engines with many slots that read
 // slowly: 40 a second of 150 ms keep six replicas busy, though they fill a
 // twentieth of their slots. Ordered by slots, four replicas were there and each
 // prompt waited behind seconds of others.
 func TestLongPromptsAreSizedByTheirWork(t *testing.T) {
 	check := is.New(t)
-	play(t, 128, 40, 150*time.Millisecond, func(m *market) {
+	play(t, 128, 40, always(150*time.Millisecond), func(m *market) {
 		check.True(m.wanted(zinniamast.Reclaimable) >= 12)
 	})
 }
@@ -166,7 +171,7 @@
 // be ordered is not kept for it, and nothing dear.
 func TestLittleWorkKeepsFewReplicas(t *testing.T) {
 	check := is.New(t)
-	play(t, 128, 10, 50*time.Millisecond, func(m *market) {
+	play(t, 128, 10, always(50*time.Millisecond), func(m *market) {
 		time.Sleep(10 * time.Second)
 		check.True(m.wanted(zinniamast.Reclaimable) <= len(domains))
 		check.Equal(m.wanted(zinniamast.OnDemand), 0)
@@ -215,3 +220,20 @@
 		check.Equal(m.wanted(zinniamast.Reclaimable), 12)
 	})
 }
+
+// One node has learned how fast replicas read, and sized one long prompt of the
+// hundred that came. Were it to stand for all of them, 50 replicas would be
+// ordered for eight seconds. As many as were found are wanted until more is known.
+func TestOneSizedPromptDoesNotStandForAll(t *testing.T) {
+	check := is.New(t)
+	oneOfHundred := func(request int) time.Duration {
+		if request == 99 {
+			return 2 * time.Second
+		}
+		return 0
+	}
+	play(t, 128, 10, oneOfHundred, func(m *market) {
+		time.Sleep(time.Second)
+		check.Equal(m.wanted(zinniamast.Reclaimable), 12)
+	})
+}
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -20,6 +20,9 @@
 	// unknownSlots stands for a service that does not say how many requests its
 	// replicas run at once.
 	unknownSlots = 20
+	// knownPart of the requests must have been sized before their work counts: a
+	// single long prompt would stand for all that came in a second.
+	knownPart = 0.25
 )
 
 // Place is a failure domain and market.
@@ -152,7 +155,7 @@
 		slots = s.Service.Engine.Slots
 	}
 	work := 0.0
-	if part := sizedPart(s.Load); part > 0 {
+	if part := sizedPart(s.Load); part >= knownPart {
 		work = s.Load.Work / part
 	}
 	return max(work, s.Load.Running/float64(slots))
