Judge silence only where all replicas are asked; order again at once what has gone

The router is told after how long silence counts; on the users' platform one second as before, else never. Cause (test of a reclaim seconds after an order): replicas that had gone were taken for some that still start, so that nothing was ordered in their place for up to 6 s. An order of which fewer are there than were is sent again in the next look. TestRefusalsAreAnsweredInTheSameLook fails without, and with one plan a look.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -140,6 +140,10 @@
 // not tell: other nodes have sent most of it there.
 const homeHolds = 0.7
 
+// silentAfter is how long a replica may tell no load while others of its failure
+// domain do: each is asked three times a second.
+const silentAfter = time.Second
+
 // routeRequests builds the policy that the command line names.
 func (e *Entry) routeRequests() {
 	s := e.config.Settings
@@ -158,6 +162,7 @@
 		HomeCost:      homeCost,
 		HomeHolds:     homeHolds,
 		FetchTime:     e.fetchTime,
+		SilentAfter:   silentAfter,
 		Plain:         e.isPlain,
 		Logger:        e.config.Logger,
 		Registerer:    e.registry,
--- a/registry/relayed.go
+++ b/registry/relayed.go
@@ -36,8 +36,8 @@
 // the store, and the others follow that one.
 //
 // Load: each node that follows the store costs it a call a second and every
-// change once more. At 91 nodes that was 0.37 of a day's worth; with a reader
-// in each of four failure domains it is four nodes' part.
+// change once more; with a reader in each failure domain that is one node's part
+// of it a domain.
 type Relayed struct {
 	config RelayedConfig
 	// Each loop of the follower has its own pace.
--- a/routing/predict.go
+++ b/routing/predict.go
@@ -57,7 +57,7 @@
 		c.usual = p.speed.first.at(0)
 	}
 	c.cost = p.price * c.work
-	c.rank = p.rank(c, need, now)
+	c.rank = r.rank(c, need, now)
 }
 
 // usualWork is the machine time that a prompt takes at a replica of the usual
@@ -83,12 +83,13 @@
 	return over * answer / p.limit.most
 }
 
-func (p *replica) rank(c *candidate, need *zinniamast.Need, now time.Time) rank {
+func (r *Router) rank(c *candidate, need *zinniamast.Need, now time.Time) rank {
+	p := c.replica
 	end := now.Add(c.completion)
 	switch {
 	case p.circuit.open(now):
 		return rankShunned
-	case p.silent():
+	case r.silent(p):
 		return rankSilent
 	case p.report.missing && p.report.weight(now) > 0:
 		return rankUnfit
--- a/routing/report.go
+++ b/routing/report.go
@@ -52,18 +52,17 @@
 	return known
 }
 
-// silentAfter is how much older than another's a replica's report must be: each
-// is asked several times in that time.
-const silentAfter = time.Second
-
 // silent says whether a replica tells its load no more, while others of its
 // failure domain do. Where none does, whoever asks them may be the one that is cut off.
 //
 // Failure: a replica goes dark without a reset. Requests that may not be repeated
 // wait there until their deadline, and until the first of these has passed, no
 // send has failed: a quarter of all prompts went on to be lost for seconds.
-func (p *replica) silent() bool {
-	return !p.report.at.IsZero() && p.told.newest.Sub(p.report.at) > silentAfter
+func (r *Router) silent(p *replica) bool {
+	if r.config.SilentAfter == 0 || p.report.at.IsZero() {
+		return false
+	}
+	return p.told.newest.Sub(p.report.at) > r.config.SilentAfter
 }
 
 func later(a, b time.Time) time.Time {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -51,6 +51,10 @@
 	// Plain says whether a service answers calls and not prompts, where its
 	// replicas take requests as they are; nil means that none does.
 	Plain func(service string) bool
+	// SilentAfter is how much older than another's of its failure domain a replica's
+	// report must be for it to count as silent, where all are asked alike; zero
+	// where only some are asked now and then, so that silence says nothing.
+	SilentAfter time.Duration
 	// PollsASecond bounds the load reports and cache events read; 8 if zero.
 	PollsASecond int
 	// Seed makes choices repeatable; zero draws one.
--- a/routing/silent_test.go
+++ b/routing/silent_test.go
@@ -8,6 +8,7 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/routing"
 )
 
 // Callers of streams that may not be repeated get nothing until their deadline.
@@ -30,7 +31,13 @@
 			Slots:   16,
 		})
 	}
-	router := newRouter(now, board, newBus(), "node")
+	router := routing.New(routing.Config{
+		Board:         board,
+		Node:          "node",
+		FailureDomain: domains[0],
+		SilentAfter:   time.Second,
+		Now:           now.Now,
+	})
 	need := &zinniamast.Need{
 		Service:      "service",
 		PromptTokens: 500,
--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -79,6 +79,8 @@
 type order struct {
 	count int
 	at    time.Time
+	// seen is the most that were there since.
+	seen int
 }
 
 // New returns a controller; Run starts it.
@@ -256,8 +258,12 @@
 	return s
 }
 
-// order sends an order that differs from the last one, or that was not
-// fulfilled, and says whether it was refused.
+// order sends an order that differs from the last one, that was not fulfilled, or
+// of which some have gone again, and says whether it was refused.
+//
+// Failure: a failure domain is reclaimed seconds after replicas were ordered
+// there. Those that went were taken for some that still start, and nothing was
+// ordered in their place until the time for that was over.
 func (c *Controller) order(ctx context.Context, service string, place Place, count int, s State) (refused bool) {
 	key := orderKey{
 		service: service,
@@ -274,7 +280,9 @@
 			count: present,
 		}
 	}
-	if count == last.count && (present >= count || now.Sub(last.at) < repeatAfter) {
+	last.seen = max(last.seen, present)
+	waiting := present == last.seen && now.Sub(last.at) < repeatAfter
+	if count == last.count && (present >= count || waiting) {
 		c.orders[key] = last
 		return false
 	}
--- a/scaling/demand_test.go
+++ b/scaling/demand_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -34,7 +35,7 @@
 func (m *market) Scale(_ context.Context, _ uint64, order zinniamast.ScaleOrder) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.dry && order.Market == zinniamast.Reclaimable && order.Count > 0 {
+	if m.dry && order.Market == zinniamast.Reclaimable {
 		return zinniamast.ErrRefused
 	}
 	m.orders = append(m.orders, order)
@@ -66,6 +67,18 @@
 	}
 }
 
+// reclaim takes failure domains' reclaimable replicas and gives no others.
+func (m *market) reclaim(failureDomains ...string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dry = true
+	for _, u := range m.board.Upstreams.Of("svc") {
+		if slices.Contains(failureDomains, u.Instance.FailureDomain) && u.Instance.Market == zinniamast.Reclaimable {
+			m.board.Upstreams.Remove(u.Instance.ID)
+		}
+	}
+}
+
 // wanted is what was ordered last of a market, all failure domains together.
 func (m *market) wanted(of zinniamast.Market) int {
 	m.mu.Lock()
@@ -102,34 +115,41 @@
 	}
 }
 
-// play runs a controller for ten seconds before the callers come and for ten
-// seconds with them; each request takes work from a replica, zero where unknown.
-func play(t *testing.T, slots int, perSecond float64, work func(request int) time.Duration, look func(m *market)) {
+// bed is a controller before a market, in virtual time.
+type bed struct {
+	market *market
+	demand *demand.Demand
+}
+
+// run runs a controller that has just started and knows no replica yet.
+func run(t *testing.T, slots int, f func(b *bed)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		board := blackboard.New()
-		m := &market{
-			board: board,
+		b := &bed{
+			market: &market{
+				board: board,
+			},
+			demand: demand.New("a"),
 		}
-		table := &routes.Table{}
 		s := service()
 		s.Scaling.BootTime = 4 * time.Second
 		s.Engine = &routes.Engine{
 			Slots: slots,
 		}
+		table := &routes.Table{}
 		table.Apply(&routes.Config{
 			Version: 1,
 			Services: map[string]routes.Service{
 				"svc": s,
 			},
 		})
-		d := demand.New("a")
 		controller := scaling.New(scaling.Config{
 			Routes:         table,
 			Upstreams:      board.Upstreams,
-			Demand:         d,
+			Demand:         b.demand,
 			Lease:          holder{},
-			Duties:         m,
+			Duties:         b.market,
 			FailureDomains: domains,
 			Logger:         slog.New(slog.DiscardHandler),
 		})
@@ -138,16 +158,26 @@
 		running.Go(func() { controller.Run(ctx) })
 		defer running.Wait()
 		defer cancel()
+		f(b)
+	})
+}
+
+// play lets replicas enter themselves a second after the start, and callers come
+// nine seconds later for ten; each request takes work from a replica, zero where
+// it is not known.
+func play(t *testing.T, slots int, perSecond float64, work func(request int) time.Duration, look func(m *market)) {
+	t.Helper()
+	run(t, slots, func(b *bed) {
 		time.Sleep(time.Second)
-		found(board, 9)
+		found(b.market.board, 9)
 		time.Sleep(9 * time.Second)
 		for request := range int(10 * perSecond) {
-			d.Entered("svc", 1000)
-			d.Sent("svc", work(request))
-			d.Left("svc")
+			b.demand.Entered("svc", 1000)
+			b.demand.Sent("svc", work(request))
+			b.demand.Left("svc")
 			time.Sleep(time.Duration(float64(time.Second) / perSecond))
 		}
-		look(m)
+		look(b.market)
 	})
 }
 
@@ -184,40 +214,14 @@
 // spare failure domain are ordered where they are cheap.
 func TestFoundReplicasAreNotGivenBackUnseen(t *testing.T) {
 	check := is.New(t)
-	synctest.Test(t, func(*testing.T) {
-		board := blackboard.New()
-		m := &market{
-			board: board,
-		}
-		table := &routes.Table{}
-		s := service()
-		table.Apply(&routes.Config{
-			Version: 1,
-			Services: map[string]routes.Service{
-				"svc": s,
-			},
-		})
-		controller := scaling.New(scaling.Config{
-			Routes:         table,
-			Upstreams:      board.Upstreams,
-			Demand:         demand.New("a"),
-			Lease:          holder{},
-			Duties:         m,
-			FailureDomains: domains,
-			Logger:         slog.New(slog.DiscardHandler),
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		var running sync.WaitGroup
-		running.Go(func() { controller.Run(ctx) })
-		defer running.Wait()
-		defer cancel()
+	run(t, 128, func(b *bed) {
 		time.Sleep(1200 * time.Millisecond)
-		for _, order := range m.orders {
+		for _, order := range b.market.orders {
 			check.True(order.Market != zinniamast.OnDemand)
 		}
-		found(board, 9)
+		found(b.market.board, 9)
 		time.Sleep(2 * time.Second)
-		check.Equal(m.wanted(zinniamast.Reclaimable), 12)
+		check.Equal(b.market.wanted(zinniamast.Reclaimable), 12)
 	})
 }
 
@@ -237,3 +241,18 @@
 		check.Equal(m.wanted(zinniamast.Reclaimable), 12)
 	})
 }
+
+// A failure domain's reclaimable replicas are reclaimed and no others are to be
+// had. Callers wait for replicas on demand to start; these are ordered in the
+// same look in which the market refused, and not half a second later for each
+// failure domain that is asked in turn.
+func TestRefusalsAreAnsweredInTheSameLook(t *testing.T) {
+	check := is.New(t)
+	play(t, 128, 40, always(150*time.Millisecond), func(m *market) {
+		before := m.wanted(zinniamast.OnDemand)
+		check.Equal(before, 0)
+		m.reclaim(domains[0], domains[1])
+		time.Sleep(600 * time.Millisecond)
+		check.True(m.wanted(zinniamast.OnDemand) >= 4)
+	})
+}
