Keep no more cheap replicas than the loss of a failure domain asks for

Hypothesis: cheap replicas beyond the need and a spare failure domain cost more than they serve. Change: replicas 0.5 busy at any price (before 0.6), one spare failure domain of cheap ones.

--- a/scaling/demand_test.go
+++ b/scaling/demand_test.go
@@ -67,6 +67,19 @@
 	}
 }
 
+// ordered is how many orders there were of a market.
+func (m *market) ordered(of zinniamast.Market) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := 0
+	for _, order := range m.orders {
+		if order.Market == of {
+			count++
+		}
+	}
+	return count
+}
+
 // reclaim takes failure domains' reclaimable replicas and gives no others.
 func (m *market) reclaim(failureDomains ...string) {
 	m.mu.Lock()
@@ -216,9 +229,7 @@
 	check := is.New(t)
 	run(t, 128, func(b *bed) {
 		time.Sleep(1200 * time.Millisecond)
-		for _, order := range b.market.orders {
-			check.True(order.Market != zinniamast.OnDemand)
-		}
+		check.Equal(b.market.ordered(zinniamast.OnDemand), 0)
 		found(b.market.board, 9)
 		time.Sleep(2 * time.Second)
 		check.Equal(b.market.wanted(zinniamast.Reclaimable), 12)
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -16,7 +16,7 @@
 const (
 	// busyPart of its time or of its slots is what a replica is ordered for:
 	// requests come unevenly in time and to replicas.
-	busyPart = 0.6
+	busyPart = 0.5
 	// unknownSlots stands for a service that does not say how many requests its
 	// replicas run at once.
 	unknownSlots = 20
@@ -173,18 +173,9 @@
 func least(s State) int { return int(math.Ceil(busy(s) / busyPart)) }
 
 // wanted is how many replicas the demand needs where they are cheap: as many as
-// leave the least ones when a failure domain goes, and more where the price is low.
-//
-// Load: one organisation sends several times its usual from one moment to the
-// next, or replicas crash, and new ones take seconds to start. What is lost by
-// lateness grows faster than linearly with how busy replicas are, so that at a
-// quarter of the price half as busy ones are worth their cost.
+// leave the least ones when a failure domain goes.
 func wanted(s State) int {
-	spare := max(withSpareDomain(least(s), len(s.Domains)), s.Service.Scaling.Min*len(s.Domains))
-	if s.Service.Scaling.SpotPrice <= 0 {
-		return spare
-	}
-	return max(spare, int(math.Ceil(busy(s)/(busyPart*math.Sqrt(s.Service.Scaling.SpotPrice)))))
+	return max(withSpareDomain(least(s), len(s.Domains)), s.Service.Scaling.Min*len(s.Domains))
 }
 
 // withSpareDomain is how many replicas leave least ones when a failure domain's
