--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// busyPart of its time or of its slots is what a replica is ordered for:
-	// requests come unevenly in time and to replicas.
-	busyPart = 0.5
+	// busyPart of its time and fullPart of its slots is what a replica is ordered
+	// for: requests come unevenly in time and to replicas.
+	busyPart = 0.6
+	fullPart = 0.5
 	// unknownSlots stands for a service that does not say how many requests its
 	// replicas run at once.
 	unknownSlots = 20
@@ -147,18 +148,22 @@
 	return held
 }
 
-// busy is how many replicas of the usual speed the load would keep busy all the
-// time: by the machine time that its requests take, or by the slots they fill.
+// busy is how many replicas of the usual speed the load's prompts would keep
+// busy all the time; zero while that is not known.
 func busy(s State) float64 {
+	if part := sizedPart(s.Load); part >= knownPart {
+		return s.Load.Work / part
+	}
+	return 0
+}
+
+// full is how many replicas' slots the load fills.
+func full(s State) float64 {
 	slots := unknownSlots
 	if s.Service.Engine != nil && s.Service.Engine.Slots > 0 {
 		slots = s.Service.Engine.Slots
 	}
-	work := 0.0
-	if part := sizedPart(s.Load); part >= knownPart {
-		work = s.Load.Work / part
-	}
-	return max(work, s.Load.Running/float64(slots))
+	return s.Load.Running / float64(slots)
 }
 
 // sizedPart is the part of the requests whose work is known.
@@ -169,13 +174,23 @@
 	return min(1, l.Sized/l.Arrivals)
 }
 
-// least is how many replicas the demand needs at any price, all failure domains together.
-func least(s State) int { return int(math.Ceil(busy(s) / busyPart)) }
+// least is how many replicas the demand needs at any price, all failure domains
+// together: by the machine time that its requests take, or by the slots they fill.
+func least(s State) int { return int(math.Ceil(max(busy(s)/busyPart, full(s)/fullPart))) }
 
 // wanted is how many replicas the demand needs where they are cheap: as many as
-// leave the least ones when a failure domain goes.
+// leave the least ones when a failure domain goes, and more where the price is low.
+//
+// Load: one organisation sends several times its usual from one moment to the
+// next, or replicas crash, and new ones take seconds to start. What is lost by
+// lateness grows faster than linearly with how busy replicas are, so that at a
+// quarter of the price half as busy ones are worth their cost.
 func wanted(s State) int {
-	return max(withSpareDomain(least(s), len(s.Domains)), s.Service.Scaling.Min*len(s.Domains))
+	spare := max(withSpareDomain(least(s), len(s.Domains)), s.Service.Scaling.Min*len(s.Domains))
+	if s.Service.Scaling.SpotPrice <= 0 {
+		return spare
+	}
+	return max(spare, int(math.Ceil(busy(s)/(busyPart*math.Sqrt(s.Service.Scaling.SpotPrice)))))
 }
 
 // withSpareDomain is how many replicas leave least ones when a failure domain's
