Tell in the log how a connection ended without an answer

What callers saw: a request that was read whole got neither an answer nor a refusal. Three causes looked alike in the logs: a node that gives up a replica that is only silent, a panic in the handler (net/http tells of it at debug level, which is off), and a caller taken for gone. Now a send ended for silence names it, a panic has a line with the request and the stack, both closing lines tell what was left of the caller's time, and zinniamast_forward_broken_off_total counts them by reason.

No change of what callers get.

--- a/forward/bed_test.go
+++ b/forward/bed_test.go
@@ -37,6 +37,10 @@
 	began    atomic.Int64
 	closing  atomic.Bool
 	refuse   atomic.Int64
+	// retriesSpent says that nothing may be sent again.
+	retriesSpent atomic.Bool
+	// routing is called for each choice; nil for nothing.
+	routing func()
 	// log takes the handler's lines.
 	log lines
 	// fetchFrom is the replica that every choice names to fetch from.
@@ -77,11 +81,23 @@
 
 // Route implements zinniamast.Router.
 func (f fetching) Route(need *zinniamast.Need) (zinniamast.Choice, error) {
+	if f.bed.routing != nil {
+		f.bed.routing()
+	}
 	choice, err := f.Router.Route(need)
 	choice.FetchFrom = f.bed.fetchFrom
 	return choice, err
 }
 
+// spendable is a budget that a test can declare spent.
+type spendable struct {
+	*retry.Window
+	spent func() bool
+}
+
+// Again implements forward.Budget.
+func (s spendable) Again(service string) bool { return !s.spent() && s.Window.Again(service) }
+
 // Take lets everything through, or refuses for as long as the test says.
 func (b *bed) Take(context.Context, *routes.Organisation, float64, int) (time.Duration, bool) {
 	wait := time.Duration(b.refuse.Load())
@@ -187,12 +203,15 @@
 			bed: b,
 		},
 		Protocol: platform.Headers{},
-		Budget: retry.NewWindow(retry.WindowConfig{
-			Ratio:  0.2,
-			Slack:  20,
-			Window: 10 * time.Second,
-			Nodes:  func() int { return 1 },
-		}),
+		Budget: spendable{
+			Window: retry.NewWindow(retry.WindowConfig{
+				Ratio:  0.2,
+				Slack:  20,
+				Window: 10 * time.Second,
+				Nodes:  func() int { return 1 },
+			}),
+			spent: b.retriesSpent.Load,
+		},
 		Allowance: b,
 		// Each replica is a failure domain of its own.
 		Quarantine: quarantine.New(quarantine.Config{
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"time"
@@ -103,6 +104,7 @@
 	if h.config.Stopping() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
+	defer h.reportPanic(r)
 	c, refusal := h.admit(r, arrived)
 	if refusal == nil && h.config.Closing() {
 		refusal = zinniamast.Refuse(zinniamast.ReasonStopping, "this node stops").After(stoppingRetryAfter)
@@ -122,6 +124,24 @@
 	h.run(ctx, w, c)
 }
 
+// reportPanic logs a panic other than the one that closes a connection on purpose:
+// net/http tells of it at debug level alone, and the caller sees a closed connection.
+func (h *Handler) reportPanic(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		h.metrics.broken.WithLabelValues(reasonPanic).Inc()
+		h.config.Logger.Error("handler panicked", "request", h.config.Protocol.Ask(r.Header).ID,
+			"cause", cause, "stack", string(debug.Stack()))
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reasonPanic labels connections closed by a panic in the handler.
+const reasonPanic = "panic"
+
 // call is one caller's request on its way.
 type call struct {
 	request *http.Request
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -9,6 +9,7 @@
 type metrics struct {
 	answered *prometheus.CounterVec
 	refused  *prometheus.CounterVec
+	broken   *prometheus.CounterVec
 	again    *prometheus.CounterVec
 	first    prometheus.Histogram
 	pause    prometheus.Histogram
@@ -43,6 +44,10 @@
 			Name: "zinniamast_forward_refused_total",
 			Help: "Requests that the node ended itself, by reason.",
 		}, []string{"reason"}),
+		broken: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "zinniamast_forward_broken_off_total",
+			Help: "Requests whose connection was closed without a whole answer, by reason.",
+		}, []string{"reason"}),
 		again: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "zinniamast_forward_again_total",
 			Help: "Requests sent again, by how the send before failed.",
--- a/forward/run.go
+++ b/forward/run.go
@@ -176,8 +176,8 @@
 	if err != nil {
 		return fail(upstream, zinniamast.FailureInvalid, err)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	watch := startWatch(patience(c), cancel)
 	defer watch.stop()
 	response, err := upstream.Replica.Send(ctx, request)
@@ -206,6 +206,9 @@
 	return c.failure
 }
 
+// left is what is left of the caller's time, for the log.
+func (c *call) left() time.Duration { return time.Until(c.deadline).Round(time.Millisecond) }
+
 // count notes what a send did.
 func (c *call) count(failure *zinniamast.UpstreamError) {
 	if failure == nil {
@@ -348,8 +351,10 @@
 func (h *Handler) giveUp(ctx context.Context, a *answer, c *call, refusal *zinniamast.Refusal) {
 	if a.began {
 		h.metrics.refused.WithLabelValues(string(zinniamast.ReasonAnswerCutShort)).Inc()
+		h.metrics.broken.WithLabelValues(string(refusal.Reason)).Inc()
 		h.config.Logger.Warn("broken off", "request", c.ask.ID, "service", c.service, "reason", refusal.Reason,
-			"last_event", string(a.last), "sends", c.sends, "avoid", c.avoid, "cause", c.cause(), "elapsed", time.Since(c.arrived).Round(time.Millisecond))
+			"last_event", string(a.last), "sends", c.sends, "avoid", c.avoid, "cause", c.cause(),
+			"elapsed", time.Since(c.arrived).Round(time.Millisecond), "left", c.left())
 		panic(http.ErrAbortHandler)
 	}
 	if c.held != nil && ctx.Err() == nil {
@@ -359,8 +364,9 @@
 	}
 	refusal.Ran = c.ran
 	if refusal.Reason == zinniamast.ReasonCancelled {
+		h.metrics.broken.WithLabelValues(string(refusal.Reason)).Inc()
 		h.config.Logger.Info("caller left", "request", c.ask.ID, "service", c.service,
-			"sends", c.sends, "elapsed", time.Since(c.arrived).Round(time.Millisecond))
+			"sends", c.sends, "elapsed", time.Since(c.arrived).Round(time.Millisecond), "left", c.left())
 		panic(http.ErrAbortHandler)
 	}
 	h.refuse(a.writer, c, refusal)
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,9 @@
 	return w
 }
 
+// errSilent ends a send whose replica tells nothing.
+var errSilent = errors.New("forward: the replica is silent")
+
 // watch cancels a send that is silent for too long.
 type watch struct {
 	waits  waits
@@ -51,14 +55,14 @@
 	silent atomic.Bool
 }
 
-func startWatch(w waits, cancel context.CancelFunc) *watch {
+func startWatch(w waits, cancel context.CancelCauseFunc) *watch {
 	started := &watch{
 		waits: w,
 	}
 	if w.first > 0 {
 		started.timer = time.AfterFunc(w.first, func() {
 			started.silent.Store(true)
-			cancel()
+			cancel(errSilent)
 		})
 	}
 	return started
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -41,6 +41,8 @@
 	// Unsigned leaves out the replica's mark, and Crossed names another request.
 	Unsigned bool
 	Crossed  bool
+	// Delay is how long the replica is silent before it answers.
+	Delay time.Duration
 	// Events is how many events a stream has; zero answers whole.
 	Events int
 	// BreakAfter closes the connection after so many events, in the middle of
@@ -48,6 +50,10 @@
 	BreakAfter int
 	// Gap is the time between events.
 	Gap time.Duration
+	// PauseAfter is after how many events the stream pauses once, for as long as
+	// Pause says; zero never.
+	PauseAfter int
+	Pause      time.Duration
 	// CutBody announces more bytes than it sends.
 	CutBody bool
 }
@@ -174,6 +180,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	select {
+	case <-time.After(b.Delay):
+	case <-request.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
 	id := run.ID
 	if b.Crossed {
 		id = "another"
@@ -239,8 +250,12 @@
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, Piece(r.StreamPrefix != "", request.Header.Get("Zinniamast-Request-Id"), i))
 		flusher.Flush()
+		gap := b.Gap
+		if i == b.PauseAfter {
+			gap = b.Pause
+		}
 		select {
-		case <-time.After(b.Gap):
+		case <-time.After(gap):
 		case <-request.Context().Done():
 			panic(http.ErrAbortHandler)
 		}
