--- /dev/null
+++ b/forward/silent_test.go
@@ -0,0 +1,107 @@
+package forward_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"zinniamast/standin/replica"
+)
+
+// paused is a stream whose replica is silent for longer than a node's patience,
+// and then goes on.
+var paused = replica.Behaviour{
+	Events:     6,
+	PauseAfter: 3,
+	Pause:      1200 * time.Millisecond,
+}
+
+// Guards against breaking off a stream whose replica is only silent where nothing else can go on with it.
+func TestSilentReplicaKeepsAStreamThatCannotMove(t *testing.T) {
+	cases := map[string]struct {
+		replicas int
+		prepare  func(b *bed)
+	}{
+		"no other replica": {
+			replicas: 1,
+			prepare:  func(*bed) {},
+		},
+		"other replicas leaving": {
+			replicas: 2,
+			prepare: func(b *bed) {
+				b.upstream.MarkLeaving("i-b", time.Time{})
+			},
+		},
+		"retries spent": {
+			replicas: 2,
+			prepare:  func(b *bed) { b.retriesSpent.Store(true) },
+		},
+		"attempts spent": {
+			replicas: 2,
+			prepare: func(b *bed) {
+				next := configuration()
+				next.Version++
+				for i := range next.Routes {
+					next.Routes[i].MaxAttempts = 1
+				}
+				b.routes.Apply(next)
+			},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t, c.replicas)
+			b.all(paused)
+			c.prepare(b)
+			answer := b.do(b.request(http.MethodPost, pathSay, "x"))
+			b.is.Equal(answer.body, events(paused.Events))
+			b.is.True(!answer.broken)
+			b.is.Equal(b.runs(), 1)
+		})
+	}
+}
+
+// Guards against answering 502 for a request that has not begun, because its replica is only silent.
+func TestSilentReplicaIsWaitedForWhereNothingElseCanRun(t *testing.T) {
+	b := newBed(t, 2)
+	b.retriesSpent.Store(true)
+	b.all(replica.Behaviour{
+		Delay:  700 * time.Millisecond,
+		Events: 3,
+	})
+	answer := b.do(b.request(http.MethodPost, pathSay, "x"))
+	b.is.Equal(answer.status, http.StatusOK)
+	b.is.Equal(answer.body, events(3))
+	b.is.Equal(b.runs(), 1)
+}
+
+// Guards against breaking off a stream, taken from a silent replica, while the others are full for a moment.
+func TestBegunStreamWaitsForRoom(t *testing.T) {
+	b := newBed(t, 4)
+	full := replica.Behaviour{
+		NotRun: true,
+	}
+	b.all(replica.Behaviour{
+		Events:     6,
+		PauseAfter: 3,
+		Pause:      time.Minute,
+	})
+	go func() {
+		for b.runs() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		b.all(full)
+		for b.runs() < 4 {
+			time.Sleep(time.Millisecond)
+		}
+		b.all(replica.Behaviour{
+			Events: 6,
+		})
+	}()
+	request := b.request(http.MethodPost, pathSay, "x")
+	request.Header.Set("Zinniamast-Deadline-Ms", "2000")
+	answer := b.do(request)
+	b.is.Equal(answer.body, events(6))
+	b.is.True(!answer.broken)
+}
