Leave a silent replica only for one that takes the request

Cause: a node ended a send whose replica had told nothing for four pauses before it knew whether another send was possible. A replica that reads long prompts, or preempts the request, is silent for as long though it is well. The share of retries refused the next send, and a begun answer can then only be closed.

Ruled out: panics (none logged), callers taken for gone (none with time left), ends of processes, a stop.

Change: the wait for a silent replica (package silence) asks first whether the request may leave: attempts left, a replica that the router predicts to begin within the same patience, and the next send paid. Otherwise the node goes on listening and asks again. A begun stream that has left is held while the others are full, ever more rarely. A replica's own failure in hand is told at once.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -12,6 +12,7 @@
 	"zinniamast"
 	"zinniamast/blackboard"
 	"zinniamast/routes"
+	"zinniamast/silence"
 )
 
 const (
@@ -49,7 +50,7 @@
 }
 
 // take judges an answer's head and passes the answer on.
-func (h *Handler) take(a *answer, c *call, upstream *blackboard.Upstream, response *http.Response, w *watch, started time.Time) *zinniamast.UpstreamError {
+func (h *Handler) take(a *answer, c *call, upstream *blackboard.Upstream, response *http.Response, w *silence.Watch, started time.Time) *zinniamast.UpstreamError {
 	reply := h.config.Protocol.Reply(response)
 	if reply.ID != "" && reply.ID != c.ask.ID {
 		return fail(upstream, zinniamast.FailureCrossed, fmt.Errorf("forward: answer to request %q", reply.ID))
@@ -74,9 +75,9 @@
 }
 
 // plain takes a whole answer.
-func (h *Handler) plain(a *answer, c *call, upstream *blackboard.Upstream, response *http.Response, w *watch, started time.Time) *zinniamast.UpstreamError {
+func (h *Handler) plain(a *answer, c *call, upstream *blackboard.Upstream, response *http.Response, w *silence.Watch, started time.Time) *zinniamast.UpstreamError {
 	h.began(c, upstream, started)
-	w.heard()
+	w.Heard()
 	body, err := io.ReadAll(io.LimitReader(response.Body, heldBytes))
 	if err != nil {
 		return fail(upstream, zinniamast.FailureCutShort, err)
@@ -147,7 +148,7 @@
 
 // stream passes events on as they come, whole ones only: a replica may stop in
 // the middle of one, and the next replica begins with the whole event.
-func (h *Handler) stream(a *answer, c *call, upstream *blackboard.Upstream, response *http.Response, w *watch, started time.Time) *zinniamast.UpstreamError {
+func (h *Handler) stream(a *answer, c *call, upstream *blackboard.Upstream, response *http.Response, w *silence.Watch, started time.Time) *zinniamast.UpstreamError {
 	pooled, _ := buffers.Get().(*[]byte)
 	defer buffers.Put(pooled)
 	buffer := *pooled
@@ -166,7 +167,8 @@
 			if !c.began {
 				h.began(c, upstream, started)
 			}
-			w.heard()
+			c.moving, c.holds = false, 0
+			w.Heard()
 			if failed := a.pass(buffer[:whole], response); failed != nil {
 				return fail(upstream, zinniamast.FailureStopped, failed)
 			}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -175,6 +175,12 @@
 	arrivals int
 	// ran is what is known of all sends so far.
 	ran zinniamast.Ran
+	// paid says that the budget has been charged for the next send.
+	paid bool
+	// moving says that the request left a silent replica and no event has come
+	// since, and holds counts how often it was held meanwhile.
+	moving bool
+	holds  int
 	// failure is that of the last send; nil if there was none.
 	failure *zinniamast.UpstreamError
 	// began says that its beginning to run was counted, and first is when its
--- a/forward/run.go
+++ b/forward/run.go
@@ -12,6 +12,7 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/silence"
 )
 
 const (
@@ -21,6 +22,10 @@
 	maxArrivals = 3
 	// maxDials bounds tries at replicas that take no connection at all.
 	maxDials = 4
+	// holdInterval is when a stream that left a silent replica is first tried again;
+	// it doubles with each try, maxHoldDoublings times.
+	holdInterval     = 100 * time.Millisecond
+	maxHoldDoublings = 4
 	// noReplicaRetryAfter is when a service without replicas may have one again:
 	// replicas take some seconds to start, and entries lapse for about two.
 	noReplicaRetryAfter = 2 * time.Second
@@ -40,6 +45,9 @@
 	for dials := 0; ; {
 		upstream, refusal := h.choose(c)
 		if refusal != nil {
+			if refusal = h.hold(ctx, a, c, refusal); refusal == nil {
+				continue
+			}
 			h.giveUp(ctx, a, c, refusal)
 			return
 		}
@@ -56,8 +64,11 @@
 			dials++
 		}
 		if refusal := h.judge(ctx, a, c, failure, dials); refusal != nil {
-			h.giveUp(ctx, a, c, refusal)
-			return
+			if refusal = h.hold(ctx, a, c, refusal); refusal != nil {
+				h.giveUp(ctx, a, c, refusal)
+				return
+			}
+			dials = 0
 		}
 		h.metrics.again.WithLabelValues(string(failure.Failure)).Inc()
 		h.config.Logger.Warn("sent again", "request", c.ask.ID, "service", c.service, "replica", upstream.Instance.ID,
@@ -65,9 +76,9 @@
 	}
 }
 
-// choose asks for the next replica.
-func (h *Handler) choose(c *call) (*blackboard.Upstream, *zinniamast.Refusal) {
-	choice, err := h.config.Router.Route(&zinniamast.Need{
+// need is what a request asks of the router.
+func (h *Handler) need(c *call, avoid []string) *zinniamast.Need {
+	return &zinniamast.Need{
 		Request:             c.ask.ID,
 		Service:             c.service,
 		Organisation:        c.organisationName(),
@@ -77,9 +88,14 @@
 		Deadline:            c.deadline,
 		FirstTokenTarget:    c.route.Target,
 		BetweenTokensTarget: c.route.PauseTarget,
-		Avoid:               h.avoided(c),
+		Avoid:               avoid,
 		Alone:               c.alone,
-	})
+	}
+}
+
+// choose asks for the next replica.
+func (h *Handler) choose(c *call) (*blackboard.Upstream, *zinniamast.Refusal) {
+	choice, err := h.config.Router.Route(h.need(c, h.avoided(c)))
 	if err != nil {
 		return nil, zinniamast.AsRefusal(err)
 	}
@@ -121,6 +137,7 @@
 func (h *Handler) attempt(ctx context.Context, a *answer, c *call, upstream *blackboard.Upstream) *zinniamast.UpstreamError {
 	upstream.Enter()
 	defer upstream.Exit()
+	c.paid = false
 	id := upstream.Instance.ID
 	h.config.Quarantine.Running(id, c.fingerprint)
 	defer h.config.Quarantine.Ended(id, c.fingerprint)
@@ -178,26 +195,38 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := startWatch(patience(c), cancel)
-	defer watch.stop()
+	wait := patience(c)
+	watch := silence.New(silence.Config{
+		First:  wait.first,
+		Pause:  wait.pause,
+		Leave:  func() bool { return h.mayLeave(c, upstream.Instance.ID) },
+		Cancel: cancel,
+	})
+	defer watch.Stop()
 	response, err := upstream.Replica.Send(ctx, request)
 	if err != nil {
 		failure := zinniamast.AsUpstreamError(err)
-		if watch.expired() && failure.Failure != zinniamast.FailureDial {
-			failure.Failure = zinniamast.FailureTimeout
+		if watch.Stop() && failure.Failure != zinniamast.FailureDial {
+			c.leave(failure)
 		}
 		c.count(failure)
 		return failure
 	}
 	defer response.Body.Close()
 	failure := h.take(a, c, upstream, response, watch, started)
-	if failure != nil && watch.expired() {
-		failure.Failure = zinniamast.FailureTimeout
+	if watch.Stop() && failure != nil {
+		c.leave(failure)
 	}
 	c.count(failure)
 	return failure
 }
 
+// leave notes that this node has ended a send for its replica's silence.
+func (c *call) leave(failure *zinniamast.UpstreamError) {
+	failure.Failure = zinniamast.FailureTimeout
+	c.moving = true
+}
+
 // cause tells how the last send ended, for the log; nil if there was none.
 func (c *call) cause() error {
 	if c.failure == nil {
@@ -206,8 +235,8 @@
 	return c.failure
 }
 
-// left is what is left of the caller's time, for the log.
-func (c *call) left() time.Duration { return time.Until(c.deadline).Round(time.Millisecond) }
+// remaining is what is left of the caller's time, for the log.
+func (c *call) remaining() time.Duration { return time.Until(c.deadline).Round(time.Millisecond) }
 
 // count notes what a send did.
 func (c *call) count(failure *zinniamast.UpstreamError) {
@@ -297,12 +326,39 @@
 	if ran != zinniamast.NotRun && c.sends >= c.route.MaxAttempts || c.arrivals >= maxArrivals {
 		return h.failed(c)
 	}
-	if !h.config.Budget.Again(c.service) {
+	return h.pay(c)
+}
+
+// pay charges the budget for a request's next send, once.
+func (h *Handler) pay(c *call) *zinniamast.Refusal {
+	if !c.paid && !h.config.Budget.Again(c.service) {
 		return zinniamast.Refuse(zinniamast.ReasonRetryBudget, "the service's retries are used up").With(c.ran).After(fullRetryAfter)
 	}
+	c.paid = true
 	return nil
 }
 
+// hold keeps a begun stream that left a silent replica until it may be sent
+// again, ever more rarely: the other replicas may be full for a moment. It
+// returns why the stream cannot go on, or nil.
+func (h *Handler) hold(ctx context.Context, a *answer, c *call, refusal *zinniamast.Refusal) *zinniamast.Refusal {
+	if !a.began || !c.moving || c.sends >= c.route.MaxAttempts {
+		return refusal
+	}
+	c.avoid = nil
+	for {
+		select {
+		case <-time.After(holdInterval << c.holds):
+		case <-ctx.Done():
+			return h.ended(ctx, c)
+		}
+		c.holds = min(c.holds+1, maxHoldDoublings)
+		if h.pay(c) == nil {
+			return nil
+		}
+	}
+}
+
 // stayHome keeps a request to this failure domain after a connection could not
 // be made, where the domain has another replica.
 //
@@ -354,7 +410,7 @@
 		h.metrics.broken.WithLabelValues(string(refusal.Reason)).Inc()
 		h.config.Logger.Warn("broken off", "request", c.ask.ID, "service", c.service, "reason", refusal.Reason,
 			"last_event", string(a.last), "sends", c.sends, "avoid", c.avoid, "cause", c.cause(),
-			"elapsed", time.Since(c.arrived).Round(time.Millisecond), "left", c.left())
+			"elapsed", time.Since(c.arrived).Round(time.Millisecond), "left", c.remaining())
 		panic(http.ErrAbortHandler)
 	}
 	if c.held != nil && ctx.Err() == nil {
@@ -366,7 +422,7 @@
 	if refusal.Reason == zinniamast.ReasonCancelled {
 		h.metrics.broken.WithLabelValues(string(refusal.Reason)).Inc()
 		h.config.Logger.Info("caller left", "request", c.ask.ID, "service", c.service,
-			"sends", c.sends, "elapsed", time.Since(c.arrived).Round(time.Millisecond), "left", c.left())
+			"sends", c.sends, "elapsed", time.Since(c.arrived).Round(time.Millisecond), "left", c.remaining())
 		panic(http.ErrAbortHandler)
 	}
 	h.refuse(a.writer, c, refusal)
--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -105,3 +105,52 @@
 	b.is.Equal(answer.body, events(6))
 	b.is.True(!answer.broken)
 }
+
+// Guards against losing a replica's own failure, which is in hand, while the next replica is silent.
+func TestFailureInHandIsToldWhenTheNextReplicaIsSilent(t *testing.T) {
+	b := newBed(t, 2)
+	choices := 0
+	b.routing = func() {
+		choices++
+		if choices == 1 {
+			b.all(replica.Behaviour{
+				Status: http.StatusInternalServerError,
+			})
+			return
+		}
+		b.all(replica.Behaviour{
+			Hang: true,
+		})
+	}
+	began := time.Now()
+	b.is.Equal(b.do(b.request(http.MethodGet, pathGet, "")).status, http.StatusInternalServerError)
+	b.is.True(time.Since(began) < time.Second)
+}
+
+// Guards against a held stream that takes the retries of other requests.
+func TestHeldStreamLeavesRetriesToOthers(t *testing.T) {
+	b := newBed(t, 3)
+	b.all(replica.Behaviour{
+		Events:     6,
+		PauseAfter: 3,
+		Pause:      time.Minute,
+	})
+	go func() {
+		for b.runs() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		b.all(replica.Behaviour{
+			NotRun: true,
+		})
+	}()
+	b.is.True(b.do(b.request(http.MethodPost, pathSay, "x")).broken)
+	b.is.True(b.runs() <= 8)
+	b.replicas[0].Behave(replica.Behaviour{
+		Status: http.StatusInternalServerError,
+	})
+	b.replicas[1].Behave(replica.Behaviour{})
+	b.replicas[2].Behave(replica.Behaviour{})
+	for range 4 {
+		b.is.Equal(b.do(b.request(http.MethodGet, pathGet, "")).status, http.StatusOK)
+	}
+}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"context"
-	"errors"
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"zinniamast/routes"
@@ -45,46 +43,19 @@
 	return w
 }
 
-// errSilent ends a send whose replica tells nothing.
-var errSilent = errors.New("forward: the replica is silent")
-
-// watch cancels a send that is silent for too long.
-type watch struct {
-	waits  waits
-	timer  *time.Timer
-	silent atomic.Bool
-}
-
-func startWatch(w waits, cancel context.CancelCauseFunc) *watch {
-	started := &watch{
-		waits: w,
-	}
-	if w.first > 0 {
-		started.timer = time.AfterFunc(w.first, func() {
-			started.silent.Store(true)
-			cancel(errSilent)
-		})
-	}
-	return started
-}
-
-// heard starts the wait for the next event.
-func (w *watch) heard() {
-	if w.timer == nil {
-		return
+// mayLeave says whether a request may leave a silent replica, and pays for its
+// next send if so: another replica is to begin within the same patience. A
+// replica's own failure that is in hand is an answer too.
+func (h *Handler) mayLeave(c *call, id string) bool {
+	if c.held != nil {
+		return true
 	}
-	if w.waits.pause == 0 {
-		w.timer.Stop()
-		return
+	if c.sends+1 >= c.route.MaxAttempts || c.arrivals+1 >= maxArrivals {
+		return false
 	}
-	w.timer.Reset(w.waits.pause)
-}
-
-func (w *watch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+	choice, err := h.config.Router.Route(h.need(c, append(slices.Clone(h.avoided(c)), id)))
+	if err != nil || choice.FirstToken > min(patience(c).first, time.Until(c.deadline)) {
+		return false
 	}
+	return h.pay(c) == nil
 }
-
-// expired says whether the watch ended the send.
-func (w *watch) expired() bool { return w.silent.Load() }
