Let a model request leave a silent upstream only for another attempt that is paid

Callers got a refusal (retry_budget, ran) in the middle of an answer whose upstream was at work.

Test: TestSilentReplicaKeepsARequestThatCannotMove; before: "r1 is failed: retry_budget (ran): the retry budget of north at summary is spent".

--- a/attempt/judge.go
+++ b/attempt/judge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"zinniamast"
@@ -130,20 +131,50 @@
 	if p.retries >= p.policy.MaxAttempts {
 		return r.giveUp(p, zinniamast.Refuse(zinniamast.ReasonUpstreamFailed, "%d attempts failed, the last with %s", p.retries, failure.Failure).With(p.ran).After(time.Second))
 	}
-	wait, err := r.allowed(p, failure)
-	if err != nil {
+	if err := r.pay(p, p.retries, failure.Failure); err != nil {
 		return r.giveUp(p, zinniamast.AsRefusal(err).With(p.ran))
 	}
-	return r.pause(ctx, p, wait)
+	p.paid = false
+	return r.pause(ctx, p, p.wait)
+}
+
+// mayLeave says whether a request may leave a silent upstream, and pays for its
+// next attempt if so.
+func (r *Runner) mayLeave(p *progress, upstream *blackboard.Upstream) bool {
+	if upstream.Leaving() {
+		return true
+	}
+	if p.retries+1 >= p.policy.MaxAttempts {
+		return false
+	}
+	need := r.need(p, false)
+	need.Avoid = append(slices.Clone(need.Avoid), upstream.Instance.ID)
+	if _, err := r.config.Router.Route(need); err != nil {
+		return false
+	}
+	return r.pay(p, p.retries+1, zinniamast.FailureTimeout) == nil
+}
+
+// pay charges the budget for a request's next attempt, once.
+func (r *Runner) pay(p *progress, retry int, failure zinniamast.Failure) error {
+	if p.paid {
+		return nil
+	}
+	wait, err := r.allowed(p, retry, failure)
+	if err != nil {
+		return err
+	}
+	p.paid, p.wait = true, wait
+	return nil
 }
 
 // allowed asks the budget for the next attempt.
-func (r *Runner) allowed(p *progress, failure *zinniamast.UpstreamError) (time.Duration, error) {
+func (r *Runner) allowed(p *progress, retry int, failure zinniamast.Failure) (time.Duration, error) {
 	call := &p.request.Call
 	ask := r.config.Retry.Retry
 	produced, _, _ := p.request.Progress()
-	if failure.Failure == zinniamast.FailureDial || produced > 0 {
+	if failure == zinniamast.FailureDial || produced > 0 {
 		ask = r.config.Retry.GoOn
 	}
-	return ask(call.Organisation, call.Model, p.retries, p.policy.RetryBudget)
+	return ask(call.Organisation, call.Model, retry, p.policy.RetryBudget)
 }
--- a/attempt/runner.go
+++ b/attempt/runner.go
@@ -78,9 +78,6 @@
 // Error implements error, so that an order can be a context's cause.
 func (m *moveOrder) Error() string { return "moved to " + m.target }
 
-// errStalled ends an attempt whose upstream has gone silent.
-var errStalled = errors.New("upstream is silent")
-
 // errHandedOff ends an attempt whose request a peer has taken over.
 var errHandedOff = errors.New("request was handed to a peer")
 
@@ -113,6 +110,10 @@
 	avoid   []string
 	order   *moveOrder
 	retries int
+	// paid says that the budget has been charged for the next attempt, which is to
+	// wait for so long.
+	paid bool
+	wait time.Duration
 	// lost is what the last attempt leaves for the next one to compute again.
 	lost     int
 	refusals int
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -9,6 +9,7 @@
 	"zinniamast"
 	"zinniamast/blackboard"
 	"zinniamast/request"
+	"zinniamast/silence"
 )
 
 const (
@@ -21,21 +22,6 @@
 	nextTokenStall = 3 * time.Second
 )
 
-// stallWatch ends an attempt that stays silent for too long.
-type stallWatch struct {
-	timer *time.Timer
-}
-
-func watchStall(first time.Duration, stop context.CancelCauseFunc) *stallWatch {
-	return &stallWatch{
-		timer: time.AfterFunc(first, func() { stop(errStalled) }),
-	}
-}
-
-func (s *stallWatch) heard() { s.timer.Reset(nextTokenStall) }
-
-func (s *stallWatch) stop() { s.timer.Stop() }
-
 // attempt runs one attempt; nil means that the answer is whole.
 func (r *Runner) attempt(ctx context.Context, p *progress, upstream *blackboard.Upstream, choice zinniamast.Choice, attempt string) error {
 	ctx, stop := context.WithCancelCause(ctx)
@@ -52,9 +38,15 @@
 	f.from, _, _ = p.request.Progress()
 	r.enter(f)
 	defer r.exit(f)
-	watch := watchStall(firstTokenStall+firstTokenFactor*choice.FirstToken, stop)
-	defer watch.stop()
+	watch := silence.New(silence.Config{
+		First:  firstTokenStall + firstTokenFactor*choice.FirstToken,
+		Pause:  nextTokenStall,
+		Leave:  func() bool { return r.mayLeave(p, upstream) },
+		Cancel: stop,
+	})
+	defer watch.Stop()
 	err := r.stream(ctx, p, f, watch)
+	watch.Stop()
 	r.observeEnd(p, f, err)
 	if err == nil {
 		return nil
@@ -74,7 +66,7 @@
 	if errors.As(cause, &order) || errors.Is(cause, errHandedOff) {
 		return cause
 	}
-	if errors.Is(cause, errStalled) {
+	if errors.Is(cause, silence.ErrSilent) {
 		return &zinniamast.UpstreamError{
 			Failure:  zinniamast.FailureTimeout,
 			Upstream: upstream,
@@ -110,7 +102,7 @@
 }
 
 // stream reads one answer into the request's buffer.
-func (r *Runner) stream(ctx context.Context, p *progress, f *flight, watch *stallWatch) error {
+func (r *Runner) stream(ctx context.Context, p *progress, f *flight, watch *silence.Watch) error {
 	call := &p.request.Call
 	generate := zinniamast.GenerateCall{
 		Attempt:    f.attempt,
@@ -139,7 +131,7 @@
 		if err != nil {
 			return err
 		}
-		watch.heard()
+		watch.Heard()
 		if len(chunk.IDs) == 0 {
 			continue
 		}
