Do not take a caller that reads slowly for a silent replica

What callers saw: a stream whose caller did not read for some 1.2 s was taken from its replica and begun again at another one, although the replica had told its events all the while. The wait for the next event ran on while the write to the caller was blocked.

The watch rests while the caller takes what was told. Tests: TestSlowCallerIsNoSilence (fails before: the stream is sent again and runs into the route's time limit), TestRestsWhileNothingIsRead.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -168,10 +168,12 @@
 				h.began(c, upstream, started)
 			}
 			c.moving, c.holds = false, 0
-			w.Heard()
+			// A caller that reads slowly holds the write up, and the replica with it.
+			w.Rest()
 			if failed := a.pass(buffer[:whole], response); failed != nil {
 				return fail(upstream, zinniamast.FailureStopped, failed)
 			}
+			w.Heard()
 			filled = copy(buffer, buffer[whole:filled])
 		}
 		if err == io.EOF && filled == 0 && a.began {
--- a/forward/silent_test.go
+++ b/forward/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -154,3 +155,36 @@
 		b.is.Equal(b.do(b.request(http.MethodGet, pathGet, "")).status, http.StatusOK)
 	}
 }
+
+// slowCaller does not read for a while.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	wait time.Duration
+}
+
+func (s *slowCaller) Write(p []byte) (int, error) {
+	time.Sleep(s.wait)
+	s.wait = 0
+	return s.ResponseRecorder.Write(p)
+}
+
+func (s *slowCaller) FlushError() error { return nil }
+
+// Guards against leaving a replica that tells its events because the caller reads slowly.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	b := newBed(t, 2)
+	b.all(replica.Behaviour{
+		Events: 30,
+		Gap:    50 * time.Millisecond,
+	})
+	request := b.request(http.MethodPost, pathSay, "x")
+	request.RequestURI = pathSay
+	request.Header.Set("Zinniamast-Deadline-Ms", "4000")
+	caller := &slowCaller{
+		ResponseRecorder: httptest.NewRecorder(),
+		wait:             1300 * time.Millisecond,
+	}
+	b.handler.ServeHTTP(caller, request)
+	b.is.Equal(caller.Body.String(), events(30))
+	b.is.Equal(b.runs(), 1)
+}
--- a/silence/silence.go
+++ b/silence/silence.go
@@ -38,7 +38,7 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// due is when the replica counts as silent.
+	// due is when the replica counts as silent; zero while the watch rests.
 	due     time.Time
 	stopped bool
 	ended   bool
@@ -62,7 +62,7 @@
 func (w *Watch) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped || time.Now().Before(w.due) {
+	if w.stopped || w.due.IsZero() || time.Now().Before(w.due) {
 		return
 	}
 	if !w.config.Leave() {
@@ -74,6 +74,18 @@
 	w.config.Cancel(ErrSilent)
 }
 
+// Rest ends the wait until the replica is heard again: what it tells meanwhile
+// is not read.
+func (w *Watch) Rest() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer == nil || w.stopped {
+		return
+	}
+	w.due = time.Time{}
+	w.timer.Stop()
+}
+
 // Heard starts the wait for the next sign of life.
 func (w *Watch) Heard() {
 	w.mu.Lock()
--- a/silence/silence_test.go
+++ b/silence/silence_test.go
@@ -97,3 +97,20 @@
 		check.NoErr(b.ctx.Err())
 	})
 }
+
+// Guards against taking a caller that does not read for a replica that is silent.
+func TestRestsWhileNothingIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		b := newBed(time.Second, time.Second)
+		b.leave.Store(true)
+		b.watch.Heard()
+		b.watch.Rest()
+		time.Sleep(time.Minute)
+		check.NoErr(b.ctx.Err())
+		b.watch.Heard()
+		time.Sleep(1100 * time.Millisecond)
+		synctest.Wait()
+		check.Equal(context.Cause(b.ctx), silence.ErrSilent)
+	})
+}
