Soak silent replicas and short retries, and check for lost requests

Cause: a node gave up a replica that was only silent in the middle of a stream, was refused a second send, and closed the caller's connection. The soak could not find it: its replicas were never silent while well, retries were never short, and a connection that ended without an answer was not looked at.

Change: a second series of faults from the same seed: streams that pause for 1.2 to 1.8 s, answers that begin 0.4 to 1 s late, and reloads by SIGHUP, beside all other faults. Served counts whole answers only. A request is lost if it ends without a whole answer or a status, unless the caller's time was up, its instance was killed or paused meanwhile, no process can have read it, or its replica broke off, itself or by its link. That is narrower than the rule allows: no time after a disturbance excuses, nor does a fault of the store, a slow link, or a new configuration. The last sound replica decides, so that a well replica left for a crossed one still counts.

--- a/processtest/process.go
+++ b/processtest/process.go
@@ -83,6 +83,9 @@
 // Terminate asks for a graceful stop (SIGTERM).
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Hangup asks for the settings to be read again (SIGHUP).
+func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
+
 // Exited says whether the process has ended.
 func (p *Process) Exited() bool {
 	select {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -14,7 +14,7 @@
 const (
 	// callers send at the same time, each one request after the other on kept
 	// connections, as clients do until a process is gone.
-	callers = 12
+	callers = 24
 	// thinkTime is between a caller's requests.
 	thinkTime = 20 * time.Millisecond
 	// budget is how long a caller waits.
@@ -28,6 +28,7 @@
 	unsafe bool
 	node   *node
 	sent   time.Time
+	ended  time.Time
 	// status is zero where there was no answer.
 	status int
 	body   string
@@ -88,6 +89,7 @@
 		_ = response.Body.Close() // It was read to its end.
 	}
 	o.err = err
+	o.ended = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes = append(c.outcomes, o)
--- a/soak/check.go
+++ b/soak/check.go
@@ -1,9 +1,12 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
+	"time"
 
 	"zinniamast/standin/replica"
 )
@@ -12,11 +15,13 @@
 type Summary struct {
 	// Faults are what was injected, with their times.
 	Faults []string
-	// Requests were sent, and Served answered with success; Refused were
+	// Requests were sent, and Served got a whole answer; Refused were
 	// answered with a promise that they have not run.
 	Requests int
 	Served   int
 	Refused  int
+	// Excused ended without an answer for a reason that excuses it; counted by reason.
+	Excused map[excuse]int
 	// Broken are the promises that did not hold, a line each.
 	Broken []string
 }
@@ -25,8 +30,9 @@
 func (c *crowd) check() Summary {
 	s := Summary{
 		Requests: len(c.outcomes),
+		Excused:  map[excuse]int{},
 	}
-	ran := map[string]int{}
+	ran := map[string]work{}
 	for _, r := range c.deployment.all() {
 		for _, run := range r.Runs() {
 			if !c.deployment.sent(run.ID) {
@@ -36,16 +42,98 @@
 				s.broke("%s ran with the body %q", run.ID, run.Body)
 			}
 			if !run.Refused {
-				ran[run.ID]++
+				ran[run.ID] = ran[run.ID].add(r, run)
 			}
 		}
 	}
 	for i := range c.outcomes {
-		s.judge(&c.outcomes[i], ran[c.outcomes[i].id])
+		o := &c.outcomes[i]
+		s.judge(o, ran[o.id].runs)
+		if o.err == nil {
+			continue
+		}
+		why := c.deployment.excuse(o, ran[o.id])
+		if why == "" {
+			s.broke("%s%s", o.loss(ran[o.id]), o.node.logsOf(o.id))
+			continue
+		}
+		s.Excused[why]++
 	}
 	return s
 }
 
+// work is what replicas did for one request.
+type work struct {
+	runs int
+	// last is the newest run by a replica that answers for itself, and replica where
+	// it was. What another one answers tells nothing of how a begun answer ended.
+	last    *replica.Run
+	replica *replica.Replica
+}
+
+// add counts a run.
+func (w work) add(r *replica.Replica, run *replica.Run) work {
+	w.runs++
+	if run.Behaviour.Faulty() {
+		return w
+	}
+	if w.last == nil || run.Received.After(w.last.Received) {
+		w.last, w.replica = run, r
+	}
+	return w
+}
+
+// lossSlack is how soon a connection may end on a request that has just been sent:
+// the instance may have closed it before it read the request. It is the least that
+// deployments allow.
+const lossSlack = 200 * time.Millisecond
+
+// excuse is why a request may end without a whole answer or a status; empty if
+// it may not.
+type excuse string
+
+const (
+	timeUp       excuse = "the caller's time was up"
+	notConnected excuse = "not connected"
+	notRead      excuse = "not read"
+	instanceDown excuse = "instance killed or paused"
+	replicaBroke excuse = "replica broke off"
+)
+
+// excuse judges a request that ended so. A stop, a reload, a new configuration, a
+// fault of the store and a replica's silence excuse nothing.
+func (d *deployment) excuse(o *outcome, w work) excuse {
+	elapsed := o.ended.Sub(o.sent)
+	switch {
+	case elapsed >= budget:
+		return timeUp
+	case d.disturbed(o.node, o.sent, o.ended):
+		return instanceDown
+	case errors.Is(o.err, syscall.ECONNREFUSED):
+		return notConnected
+	case w.runs == 0 && elapsed <= lossSlack:
+		return notRead
+	case w.last == nil:
+		return ""
+	case w.last.Behaviour.Breaks() || d.disturbed(d.linkOf(w.replica), w.last.Received, o.ended):
+		return replicaBroke
+	default:
+		return ""
+	}
+}
+
+// loss tells what is known of a lost request.
+func (o *outcome) loss(w work) string {
+	line := fmt.Sprintf("%s (%s) was lost at %s after %v, run %d times: status %d, %v", o.id, o.path, o.node.name,
+		o.ended.Sub(o.sent).Round(time.Millisecond), w.runs, o.status, o.err)
+	if w.last == nil {
+		return line
+	}
+	b := w.last.Behaviour
+	return fmt.Sprintf("%s; last by %s for %v, which begins after %v and pauses for %v after event %d", line, w.replica.ID,
+		o.ended.Sub(w.last.Received).Round(time.Millisecond), b.Delay, b.Pause, b.PauseAfter)
+}
+
 // judge judges one request that replicas ran so many times.
 func (s *Summary) judge(o *outcome, ran int) {
 	if o.unsafe && ran > 1 {
@@ -53,8 +141,11 @@
 	}
 	switch o.status {
 	case http.StatusOK:
+		if o.err != nil {
+			break
+		}
 		s.Served++
-		if o.err == nil && !o.whole() {
+		if !o.whole() {
 			s.broke("%s got the answer %q", o.id, o.body)
 		}
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -48,6 +48,41 @@
 	// places holds each replica's, and left those that were taken away.
 	places map[*replica.Replica]place
 	left   []*replica.Replica
+	// disturbances are the unplanned faults of instances and links so far.
+	disturbances []disturbance
+}
+
+// disturbance is a fault of an instance or of a link.
+type disturbance struct {
+	target      any
+	from, until time.Time
+}
+
+// disturb notes that a target had a disturbance from a moment until now.
+func (d *deployment) disturb(target any, from time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.disturbances = append(d.disturbances, disturbance{
+		target: target,
+		from:   from,
+		until:  time.Now(),
+	})
+}
+
+// disturbed says whether a target had a disturbance in a span of time.
+func (d *deployment) disturbed(target any, from, until time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.ContainsFunc(d.disturbances, func(f disturbance) bool {
+		return f.target == target && !f.from.After(until) && !f.until.Before(from)
+	})
+}
+
+// linkOf returns the link before a replica.
+func (d *deployment) linkOf(r *replica.Replica) *processtest.Link {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.links[slices.Index(d.replicas, r)]
 }
 
 // place is where a replica's entry says that it is.
@@ -73,11 +108,26 @@
 	ready    string
 	store    *processtest.Link
 	process  *processtest.Process
+	// ended are its processes before.
+	ended []*processtest.Process
+}
+
+// logsOf returns the log lines that name a request.
+func (n *node) logsOf(id string) string {
+	var found strings.Builder
+	for _, p := range append(slices.Clone(n.ended), n.process) {
+		for line := range strings.Lines(p.Logs()) {
+			if strings.Contains(line, fmt.Sprintf("%q", id)) || strings.Contains(line, "="+id+" ") {
+				found.WriteString("\n\t" + strings.TrimSpace(line))
+			}
+		}
+	}
+	return found.String()
 }
 
 // newDeployment starts so many instances, replicas behind links, and a store
 // behind a link for each instance.
-func newDeployment(tb testing.TB, instances int) *deployment {
+func newDeployment(tb testing.TB, c Config) *deployment {
 	tb.Helper()
 	d := &deployment{
 		tb:     tb,
@@ -91,7 +141,8 @@
 	}
 	directory := tb.TempDir()
 	var seeds []string
-	for i := range instances {
+	retries := c.retries()
+	for i := range c.Instances {
 		n := &node{
 			name:     fmt.Sprintf("edge-%d", i),
 			frontend: processtest.FreeAddress(tb),
@@ -104,7 +155,7 @@
 			seeds = append(seeds, peer)
 		}
 		text := fmt.Sprintf(settings, n.name, failureDomains[i%len(failureDomains)], "["+quoted(seeds)+"]",
-			n.frontend, n.ready, peer, n.store.Address(), d.store.Address())
+			n.frontend, n.ready, peer, retries.ratio, retries.slack, n.store.Address(), d.store.Address())
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			tb.Fatal(err)
 		}
@@ -143,7 +194,7 @@
 	"routes":[
 		{"name":"lookup","hostname":"models.example","prefix":"/lookup/","routeType":"safe","timeoutMs":3000,"sloMs":150,"service":"svc","maxAttempts":2},
 		{"name":"own","hostname":"models.example","prefix":%q,"routeType":"safe","timeoutMs":3000,"sloMs":150,"service":"svc","maxAttempts":2},
-		{"name":"say","hostname":"models.example","prefix":"/say/","routeType":"stream","resumable":true,"timeoutMs":3000,"sloMs":150,"gapSloMs":300,"service":"svc","maxAttempts":3},
+		{"name":"say","hostname":"models.example","prefix":"/say/","routeType":"stream","resumable":true,"timeoutMs":3000,"sloMs":150,"gapSloMs":250,"service":"svc","maxAttempts":3},
 		{"name":"book","hostname":"models.example","prefix":"/book/","routeType":"unsafe","timeoutMs":3000,"sloMs":150,"service":"svc","maxAttempts":1}],
 	"services":[{"name":"svc"}],
 	"limits":{"maxBodyBytes":4096},
@@ -167,9 +218,9 @@
 memoryMb = 284
 [bounds]
 graceS = 8
-retryRatio = 0.2
+retryRatio = %g
 retryWindowS = 10
-retrySlack = 58
+retrySlack = %d
 quotaWindowS = 8
 quotaOverage = 0.1
 quotaSlack = 140000
@@ -236,6 +287,9 @@
 }
 
 func (d *deployment) start(n *node) {
+	if n.process != nil {
+		n.ended = append(n.ended, n.process)
+	}
 	n.process = processtest.Start(d.tb, n.name, "entry", "-settings", n.settings)
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -19,6 +19,14 @@
 	name   string
 	target func(d *deployment, random *rand.Rand) any
 	begin  func(d *deployment, target any, random *rand.Rand) (end func())
+	// unplanned says that it excuses a request that is cut meanwhile at its target.
+	unplanned bool
+}
+
+// excusing returns the fault as one that excuses.
+func (f fault) excusing() fault {
+	f.unplanned = true
+	return f
 }
 
 // strike makes a fault of things of one type.
@@ -45,11 +53,11 @@
 	strike("kill", anyNode, func(d *deployment, n *node, _ *rand.Rand) func() {
 		n.process.Kill()
 		return func() { d.start(n) }
-	}),
+	}).excusing(),
 	strike("pause", anyNode, func(_ *deployment, n *node, _ *rand.Rand) func() {
 		n.process.Pause()
 		return n.process.Resume
-	}),
+	}).excusing(),
 	strike("stop", anyNode, func(d *deployment, n *node, _ *rand.Rand) func() {
 		n.process.Terminate()
 		return func() {
@@ -68,11 +76,11 @@
 		link.Slow(time.Duration(50+random.IntN(300)) * time.Millisecond)
 		return link.Clear
 	}),
-	strike("replica silent", anyReplicaLink, silence),
+	strike("replica silent", anyReplicaLink, silence).excusing(),
 	strike("replica resets", anyReplicaLink, func(_ *deployment, link *processtest.Link, _ *rand.Rand) func() {
 		link.Reset()
 		return link.Clear
-	}),
+	}).excusing(),
 	strike("replica leaves", anyReplica, func(d *deployment, r *replica.Replica, _ *rand.Rand) func() {
 		return d.replace(r)
 	}),
@@ -86,6 +94,34 @@
 	}),
 }
 
+// silences are well replicas that tell nothing for a while, as those that read long
+// prompts or preempt a request, and reloads beside them. They are drawn apart from
+// faults, so that several replicas at a time are silent beside the other faults.
+var silences = []fault{
+	strike("replica pauses in streams", anyReplica, func(_ *deployment, r *replica.Replica, random *rand.Rand) func() {
+		r.Behave(replica.Behaviour{
+			PauseAfter: 1 + random.IntN(replica.StreamEvents-1),
+			Pause:      within(random, 1200*time.Millisecond, 1800*time.Millisecond),
+		})
+		return func() { r.Behave(replica.Behaviour{}) }
+	}),
+	strike("replica begins late", anyReplica, func(_ *deployment, r *replica.Replica, random *rand.Rand) func() {
+		r.Behave(replica.Behaviour{
+			Delay: within(random, 400*time.Millisecond, time.Second),
+		})
+		return func() { r.Behave(replica.Behaviour{}) }
+	}),
+	strike("reload", anyNode, func(_ *deployment, n *node, _ *rand.Rand) func() {
+		n.process.Hangup()
+		return func() {}
+	}),
+}
+
+// within draws a time from a span.
+func within(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(most-least)))
+}
+
 // misbehaviours are answers that a faulty replica gives.
 var misbehaviours = []replica.Behaviour{
 	{NotRun: true},
@@ -135,38 +171,72 @@
 // stopWithin is the time that the settings give a stop, and some for the machine.
 const stopWithin = 12 * time.Second
 
-// misbehave injects faults until ctx ends and returns what it did. They overlap,
-// but one thing has one fault at a time. All have ended when it returns.
-func (d *deployment) misbehave(ctx context.Context, random *rand.Rand) []string {
-	var did []string
-	var mu sync.Mutex
-	struck := map[any]bool{}
-	claim := func(target any, taken bool) bool {
-		mu.Lock()
-		defer mu.Unlock()
-		free := !struck[target]
-		struck[target] = taken
-		return free
+// injector makes faults. They overlap, but one thing has one fault at a time.
+type injector struct {
+	deployment *deployment
+	began      time.Time
+	running    sync.WaitGroup
+
+	mu     sync.Mutex
+	struck map[any]bool
+	did    []string
+}
+
+// misbehave injects faults until ctx ends and returns what it did. All have ended
+// when it returns.
+func (d *deployment) misbehave(ctx context.Context, seed uint64) []string {
+	i := &injector{
+		deployment: d,
+		began:      time.Now(),
+		struck:     map[any]bool{},
 	}
-	var running sync.WaitGroup
-	began := time.Now()
+	var series sync.WaitGroup
+	series.Go(func() { i.draw(ctx, faults, rand.New(rand.NewPCG(seed, seed))) })
+	series.Go(func() { i.draw(ctx, silences, rand.New(rand.NewPCG(seed, ^seed))) })
+	series.Wait()
+	i.running.Wait()
+	return i.did
+}
+
+// draw injects one fault after the other until ctx ends.
+func (i *injector) draw(ctx context.Context, from []fault, random *rand.Rand) {
 	for ctx.Err() == nil {
-		f := faults[random.IntN(len(faults))]
-		target := f.target(d, random)
+		f := from[random.IntN(len(from))]
+		target := f.target(i.deployment, random)
 		length := time.Duration(random.Int64N(int64(lasting)))
-		if claim(target, true) {
-			did = append(did, fmt.Sprintf("%v %s for %v", time.Since(began).Round(time.Millisecond), f.name, length.Round(time.Millisecond)))
-			end := f.begin(d, target, random)
-			running.Go(func() {
-				time.Sleep(length)
-				end()
-				claim(target, false)
-			})
+		if i.claim(target, fmt.Sprintf("%s for %v", f.name, length.Round(time.Millisecond))) {
+			i.inject(f, target, length, random)
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(between))))
 	}
-	running.Wait()
-	return did
+}
+
+// claim notes a fault of a target unless it has one.
+func (i *injector) claim(target any, what string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.struck[target] {
+		return false
+	}
+	i.struck[target] = true
+	i.did = append(i.did, fmt.Sprintf("%v %s", time.Since(i.began).Round(time.Millisecond), what))
+	return true
+}
+
+// inject begins a fault and lets it end later.
+func (i *injector) inject(f fault, target any, length time.Duration, random *rand.Rand) {
+	from := time.Now()
+	end := f.begin(i.deployment, target, random)
+	i.running.Go(func() {
+		time.Sleep(length)
+		end()
+		if f.unplanned {
+			i.deployment.disturb(target, from)
+		}
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.struck[target] = false
+	})
 }
 
 // losePower kills all instances at once and starts them again.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -19,6 +18,27 @@
 	Faults time.Duration
 }
 
+// retries is what a deployment allows of repeated sends, in each window of the settings.
+type retries struct {
+	ratio float64
+	slack int
+}
+
+// retries is plenty with half of the seeds. With the others some replicas that
+// misbehave use it up.
+func (c Config) retries() retries {
+	if c.Seed/2%2 == 0 {
+		return retries{
+			ratio: 0.2,
+			slack: 58,
+		}
+	}
+	return retries{
+		ratio: 0.01,
+		slack: 4,
+	}
+}
+
 const (
 	// recovery is how long after the last fault the system is given.
 	recovery = 6 * time.Second
@@ -31,11 +51,11 @@
 // after all faults have ended.
 func Run(tb testing.TB, c Config) (faulty, calmed Summary) {
 	tb.Helper()
-	d := newDeployment(tb, c.Instances)
-	faulty = d.soak(c.Seed, func(random *rand.Rand) []string {
+	d := newDeployment(tb, c)
+	faulty = d.soak(c.Seed, func() []string {
 		ctx, cancel := context.WithTimeout(context.Background(), c.Faults)
 		defer cancel()
-		return d.misbehave(ctx, random)
+		return d.misbehave(ctx, c.Seed)
 	})
 	if c.Seed%2 == 0 {
 		d.losePower()
@@ -45,7 +65,7 @@
 	for _, r := range d.left {
 		before[r] = len(r.Runs())
 	}
-	calmed = d.soak(c.Seed+1, func(*rand.Rand) []string {
+	calmed = d.soak(c.Seed+1, func() []string {
 		time.Sleep(calm)
 		return nil
 	})
@@ -54,7 +74,7 @@
 }
 
 // soak lets callers send while something is done, and checks what came of it.
-func (d *deployment) soak(seed uint64, do func(random *rand.Rand) []string) Summary {
+func (d *deployment) soak(seed uint64, do func() []string) Summary {
 	c := &crowd{
 		deployment: d,
 	}
@@ -64,7 +84,7 @@
 		defer close(ended)
 		c.run(ctx, seed)
 	}()
-	did := do(rand.New(rand.NewPCG(seed, seed)))
+	did := do()
 	cancel()
 	<-ended
 	s := c.check()
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -20,6 +20,9 @@
 	Target string
 	Header http.Header
 	Body   string
+	// Received is when the request was read, and Behaviour how it is answered.
+	Received  time.Time
+	Behaviour Behaviour
 	// Refused says that the replica turned it away and did not run it.
 	Refused bool
 	// Left is set once the caller's side closed the connection before the answer's end.
@@ -58,6 +61,14 @@
 	CutBody bool
 }
 
+// Faulty says whether a replica that behaves so answers other than for itself.
+func (b Behaviour) Faulty() bool {
+	return b.Unsigned || b.Crossed || b.Status >= http.StatusInternalServerError
+}
+
+// Breaks says whether a replica that behaves so ends answers before they are whole.
+func (b Behaviour) Breaks() bool { return b.Reset || b.CutBody || b.BreakAfter > 0 }
+
 // Replica is the stand-in.
 type Replica struct {
 	// ID is the instance that it answers for.
@@ -149,6 +160,8 @@
 	}
 	r.mu.Lock()
 	b := r.behaviour
+	run.Received = time.Now()
+	run.Behaviour = b
 	run.Refused = b.NotRun || b.Elsewhere || run.Header.Get("Zinniamast-Expect-Instance") != r.ID
 	r.runs = append(r.runs, run)
 	r.mu.Unlock()
