Count a token in the stand-in's cache before it is sent

Seen: TestReclaimedNodeLosesNothing, "1 != 0" recomputed tokens, once in 118 runs beside load (trial with a trace); TestReclaimedWhileStopping the same once.

Cause: the stand-in engine wrote a token and counted it in its cache afterwards. A reader that resumed with the token in between was charged for computing it again. The test's fault, not the product's.

Why it is not weaker: the cache cannot cover more than the reader names, so a token that was computed and never read changes nothing. Produced still counts what was sent.

--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -181,11 +181,14 @@
 		if i > len(call.Resume) && !sleep(ctx, e.config.BetweenTokens) {
 			return false
 		}
+		// The cache has a token before its reader does, who may resume with it at once.
+		e.mu.Lock()
+		running.tokens++
+		e.mu.Unlock()
 		if out.token(token(running.seed, i), i) != nil {
 			return false
 		}
 		e.mu.Lock()
-		running.tokens++
 		e.counts.Produced++
 		e.mu.Unlock()
 	}
