--- a/node/endmark_test.go
+++ b/node/endmark_test.go
@@ -51,10 +51,7 @@
 	return k.ResponseWriter.Write(b)
 }
 
-// Guards against an answer that is lost, asked anew or computed again when it
-// is handed over after its engine ended it and before the giver read the end
-// mark. The peer asks the engine for the end mark alone, so two attempts count
-// as finished and every token is produced once.
+// Guards against an answer lost, asked anew or computed again when it is handed over before its end mark is read.
 func TestEndMarkUnreadAtHandover(t *testing.T) {
 	is := is.New(t)
 	const tokens = 60
@@ -90,8 +87,7 @@
 	f.finishOnce(t, 1)
 }
 
-// Guards against an answer that is lost, or taken from two attempts, because it ends
-// in one of the steps of the handover: 40 answers end 10 ms apart around it.
+// Guards against an answer lost, or taken from two attempts, because it ends in one of the steps of a hand-over.
 func TestStreamsEndDuringHandover(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, 30*time.Second)
--- a/node/runonce_test.go
+++ b/node/runonce_test.go
@@ -10,9 +10,7 @@
 	"zinniamast/standin/engine"
 )
 
-// Guards against an attempt that goes on at its engine after its request was
-// handed over or moved off it. The notice is longer than the streams, so the
-// giver does not end before such an attempt would, and each would be counted.
+// Guards against an attempt that goes on at its engine after its request was handed over or moved off it.
 func TestHandedOverStreamsFinishOnce(t *testing.T) {
 	t.Run("giver leaves", func(t *testing.T) {
 		counts := reclaimOnLongNotice(t)
