Take a list of replicas that is not whole for the middle of what may be ordered

Cause, by the logs: the list of a large fleet comes in parts, 18 replicas a second for five seconds. Two seconds after its start the holder took the 18 of 90 that it saw for all that were found, ordered those on demand down to one a failure domain, which took away the 72 that it did not see too, and 24 reclaimable ones: 24 met the first callers and 178 were ordered by second four.

A list that grew in two looks in a row says little: until the demand is known, the middle between the least and the most that may be ordered stands for it. The number found holds a spare failure domain already, and is not bought dearly with one more. Where no cheap ones are to be had, found ones stay before anybody has asked (before: one a domain). From four busy replicas on the cheap surplus grows by the square root: what comes unevenly to many replicas evens out.

--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -163,6 +163,18 @@
 type found struct {
 	reclaimable int
 	onDemand    int
+	// grew says that the last look showed more than the one before, and partial
+	// that two looks in a row did: the list was not whole when orders began.
+	grew    bool
+	partial bool
+}
+
+// see takes in the replicas on demand that a look shows.
+func (f *found) see(onDemand int) {
+	grows := onDemand > f.onDemand
+	f.partial = f.partial || grows && f.grew
+	f.grew = grows
+	f.onDemand = max(f.onDemand, onDemand)
 }
 
 // serviceOf returns what is known of a service.
@@ -181,26 +193,53 @@
 
 // add takes in what a service needs now. Until the demand is known, as many
 // replicas as were found are wanted: it is what the operator, or the holder
-// before, thought right. Dear ones among them wait for callers.
+// before, thought right. Beyond those, dear ones are not bought before callers come.
 func (s *service) add(state State, now time.Time) {
 	s.known = s.known || sizedPart(state.Load) >= knownPart
 	if !s.known {
-		if s.found == nil {
-			s.found = &found{
-				reclaimable: presentIn(state, zinniamast.Reclaimable),
-			}
-		}
-		s.found.onDemand = max(s.found.onDemand, presentIn(state, zinniamast.OnDemand))
-		before := s.found.reclaimable + s.found.onDemand
+		s.see(state)
 		needed := 0
 		if state.Load.Arrivals > 0 {
-			needed = before
+			needed = withoutSpareDomain(s.before(state), len(state.Domains))
 		}
-		s.needs.Add(needed, withSpareDomain(before, len(state.Domains)), now)
+		s.needs.Add(needed, withSpareDomain(s.before(state), len(state.Domains)), now)
 	}
 	s.needs.Add(least(state), wanted(state), now)
 }
 
+// see takes in what a look shows while the demand is not known.
+func (s *service) see(state State) {
+	if s.found == nil {
+		s.found = &found{
+			reclaimable: presentIn(state, zinniamast.Reclaimable),
+		}
+	}
+	s.found.see(presentIn(state, zinniamast.OnDemand))
+}
+
+// before is how many replicas there were before this holder ordered any.
+//
+// Failure: the list of a large fleet comes in parts, for seconds, and an order
+// for those that are seen takes the others away. Sized by the part that was seen,
+// a fifth of the fleet met the first callers. A list that is not whole says
+// little, and the middle of what may be ordered stands for it.
+func (s *service) before(state State) int {
+	seen := s.found.reclaimable + s.found.onDemand
+	if !s.found.partial {
+		return seen
+	}
+	return max(seen, middle(state))
+}
+
+// kept is how many replicas stay until cheaper ones are there: before anybody
+// has asked, as many as there were.
+func (s *service) kept(state State) int {
+	if s.known {
+		return 0
+	}
+	return s.before(state)
+}
+
 // presentIn is how many replicas of a market are there.
 func presentIn(s State, market zinniamast.Market) int {
 	sum := 0
@@ -249,6 +288,7 @@
 	known.add(s, now)
 	s.Least = known.needs.Least(now)
 	s.Needed = known.needs.Wanted(now)
+	s.Kept = known.kept(s)
 	s.Dry = known.dry
 	for key, until := range c.refused {
 		if key.service == service.Name && now.Before(until) {
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -18,6 +18,8 @@
 	// for: requests come unevenly in time and to replicas.
 	busyPart = 0.6
 	fullPart = 0.5
+	// evenFrom is up to how many busy replicas cheap ones are kept by their price alone.
+	evenFrom = 4
 	// unknownSlots stands for a service that does not say how many requests its
 	// replicas run at once.
 	unknownSlots = 20
@@ -41,6 +43,9 @@
 	// Least is how many there must be if need be at the dearer price; what Needed
 	// has beyond it is bought where it is cheap, or not at all.
 	Least int
+	// Kept is how many there were before the demand was known; they stay until
+	// cheaper ones are there.
+	Kept int
 	// Domains are the failure domains in which the service runs or may run.
 	Domains []string
 	// Refused are places where none is to be had now.
@@ -61,7 +66,7 @@
 	held := heldOver(domains, s)
 	want := s.Needed
 	if scaling.SpotPrice > 0 {
-		want = s.Least - spread(plan, domains, zinniamast.Reclaimable, s.Needed, s, held) + atRisk(plan, domains, s)
+		want = max(s.Least, s.Kept) - spread(plan, domains, zinniamast.Reclaimable, s.Needed, s, held) + atRisk(plan, domains, s)
 	}
 	for domain, count := range held {
 		plan[onDemand(domain)] = count
@@ -125,7 +130,7 @@
 // four seconds ago were stopped before they served: in a crowd that wanted 24
 // replicas eight were there for ten seconds.
 func heldOver(domains []string, s State) map[string]int {
-	missing := s.Least
+	missing := max(s.Least, s.Kept)
 	if s.Service.Scaling.SpotPrice <= 0 {
 		missing = s.Needed
 	}
@@ -190,7 +195,22 @@
 	if s.Service.Scaling.SpotPrice <= 0 {
 		return spare
 	}
-	return max(spare, int(math.Ceil(busy(s)/(busyPart*math.Sqrt(s.Service.Scaling.SpotPrice)))))
+	return max(spare, int(math.Ceil(cheaply(busy(s), busyPart*math.Sqrt(s.Service.Scaling.SpotPrice)))))
+}
+
+// cheaply is how many cheap replicas serve what keeps some busy all the time,
+// where few of them are to be busy for a part of their time. What comes unevenly
+// to many replicas evens out: from evenFrom on the surplus grows by the square root.
+func cheaply(busy, part float64) float64 {
+	if busy <= evenFrom {
+		return busy / part
+	}
+	return busy + (evenFrom/part-evenFrom)*math.Sqrt(busy/evenFrom)
+}
+
+// middle is the middle of how many replicas may be ordered.
+func middle(s State) int {
+	return (s.Service.Scaling.Min + s.Service.Scaling.Max) * len(s.Domains) / 2
 }
 
 // withSpareDomain is how many replicas leave least ones when a failure domain's
@@ -202,6 +222,15 @@
 	return (least*domains + domains - 2) / (domains - 1)
 }
 
+// withoutSpareDomain is the part of found replicas that stays when a failure
+// domain's part of them goes.
+func withoutSpareDomain(found, domains int) int {
+	if domains < 2 {
+		return found
+	}
+	return found * (domains - 1) / domains
+}
+
 // byPrice returns the failure domains, cheapest first.
 func byPrice(s State) []string {
 	domains := slices.Clone(s.Domains)
