Look for a request once more when the node that it is read from has gone

A caller that read its answer through a third node got the error event moved after three seconds, instead of the rest.

The node that had taken it over was reading there for the caller, did not hear where the request went, waited three seconds for a peer that was gone, and sent the caller away, although it held the request itself.

Now the caller's side looks for the request once after its source has gone: here, then by the directory. The real race was not brought about again; the wait of three seconds stays.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -18,13 +18,15 @@
 
 // answer writes one request's answer to one caller.
 type answer struct {
-	server   *Server
-	asked    *asked
-	reader   request.Reader
-	writer   http.ResponseWriter
-	control  *http.ResponseController
-	next     int
-	begun    bool
+	server  *Server
+	asked   *asked
+	reader  request.Reader
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	next    int
+	begun   bool
+	// sought says that the request was looked for since its last part.
+	sought   bool
 	text     []byte
 	buffer   []byte
 	arena    fastjson.Arena
@@ -36,8 +38,12 @@
 	a.control = http.NewResponseController(a.writer)
 	for {
 		if err := a.reader.Read(ctx, &a.progress); err != nil {
+			if a.seek(ctx) {
+				continue
+			}
 			return a.cut(ctx)
 		}
+		a.sought = false
 		// A caller that attaches later reads old tokens; the time since acceptance
 		// would count as a wait that nobody had.
 		if a.asked.fresh && a.progress.Index == 0 && len(a.progress.Ends) > 0 {
@@ -60,6 +66,29 @@
 	}
 }
 
+// seek looks once for the request after its source has gone.
+//
+// Failure: a node hands its requests over and ends at once. A peer that reads
+// there for its own callers does not hear where they went, and its callers were
+// sent away, although the peer may hold the request itself.
+func (a *answer) seek(ctx context.Context) bool {
+	if ctx.Err() != nil || a.sought {
+		return false
+	}
+	a.sought = true
+	asked := *a.asked
+	asked.query.ID = a.asked.call.ID
+	asked.query.From = a.next
+	asked.query.Epoch = a.progress.Epoch
+	reader, refusal := a.server.attach(ctx, &asked)
+	if refusal != nil {
+		return false
+	}
+	a.reader.Close(false)
+	a.reader = reader
+	return true
+}
+
 // follow goes on reading from the peer that now holds the request.
 func (a *answer) follow(peer string) {
 	a.reader.Close(false)
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -62,6 +62,12 @@
 func (alone) Orphaned(caller.Query)                      {}
 
 func newSite(t testing.TB) *site {
+	t.Helper()
+	return newSiteBeside(t, alone{})
+}
+
+// newSiteBeside starts a site that finds requests at other nodes.
+func newSiteBeside(t testing.TB, others caller.Locator) *site {
 	t.Helper()
 	s := &site{
 		board: blackboard.New(),
@@ -111,7 +117,7 @@
 		Limiter: limits.New(limits.Config{
 			Board: s.board,
 		}),
-		Locator:  alone{},
+		Locator:  others,
 		Stopping: func() bool { return false },
 		Context:  t.Context(),
 		Logger:   logger,
