Call a list partial only where it still grows when orders begin

Cause: since a list that grew in two looks in a row was taken for one that comes in parts. The list of a small fleet is entered in parts too where a look falls into the moment: nine replicas seen as some and then nine.

--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -164,15 +164,16 @@
 	reclaimable int
 	onDemand    int
 	// grew says that the last look showed more than the one before, and partial
-	// that two looks in a row did: the list was not whole when orders began.
+	// that two looks in a row did when orders began: the list was not whole.
 	grew    bool
 	partial bool
 }
 
-// see takes in the replicas on demand that a look shows.
-func (f *found) see(onDemand int) {
+// see takes in the replicas on demand that a look shows; ordering says that
+// orders for them may go out.
+func (f *found) see(onDemand int, ordering bool) {
 	grows := onDemand > f.onDemand
-	f.partial = f.partial || grows && f.grew
+	f.partial = f.partial || ordering && grows && f.grew
 	f.grew = grows
 	f.onDemand = max(f.onDemand, onDemand)
 }
@@ -193,11 +194,12 @@
 
 // add takes in what a service needs now. Until the demand is known, as many
 // replicas as were found are wanted: it is what the operator, or the holder
-// before, thought right. Beyond those, dear ones are not bought before callers come.
-func (s *service) add(state State, now time.Time) {
+// before, thought right. Beyond those, dear ones are not bought before callers
+// come. Ordering says that orders on demand may go out.
+func (s *service) add(state State, ordering bool, now time.Time) {
 	s.known = s.known || sizedPart(state.Load) >= knownPart
 	if !s.known {
-		s.see(state)
+		s.see(state, ordering)
 		needed := 0
 		if state.Load.Arrivals > 0 {
 			needed = withoutSpareDomain(s.before(state), len(state.Domains))
@@ -208,13 +210,13 @@
 }
 
 // see takes in what a look shows while the demand is not known.
-func (s *service) see(state State) {
+func (s *service) see(state State, ordering bool) {
 	if s.found == nil {
 		s.found = &found{
 			reclaimable: presentIn(state, zinniamast.Reclaimable),
 		}
 	}
-	s.found.see(presentIn(state, zinniamast.OnDemand))
+	s.found.see(presentIn(state, zinniamast.OnDemand), ordering)
 }
 
 // before is how many replicas there were before this holder ordered any.
@@ -285,7 +287,7 @@
 	}
 	now := time.Now()
 	known := c.serviceOf(service)
-	known.add(s, now)
+	known.add(s, c.settled(now), now)
 	s.Least = known.needs.Least(now)
 	s.Needed = known.needs.Wanted(now)
 	s.Kept = known.kept(s)
@@ -298,6 +300,10 @@
 	return s
 }
 
+// settled says whether the process has been there long enough to order on demand,
+// and fewer of any.
+func (c *Controller) settled(now time.Time) bool { return now.Sub(c.began) >= settleFor }
+
 // order sends an order that differs from the last one, that was not fulfilled, or
 // of which some have gone again, and says whether it was refused.
 //
@@ -310,7 +316,7 @@
 		place:   place,
 	}
 	now := time.Now()
-	if now.Sub(c.began) < settleFor && (place.Market == zinniamast.OnDemand || count < s.Present[place]) {
+	if !c.settled(now) && (place.Market == zinniamast.OnDemand || count < s.Present[place]) {
 		return false
 	}
 	last, known := c.orders[key]
