Do not take one's own orders for replicas that were found

Cause: while nobody knows the demand, as many replicas as were found stay or are had on demand where the market is dry. What was found was counted on while the holder ordered already: its own replicas on demand were taken for found ones, and as many again were ordered, up to the most.

What was found is closed when orders on demand may go out.

--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -167,14 +167,25 @@
 	// that two looks in a row did when orders began: the list was not whole.
 	grew    bool
 	partial bool
+	// closed says that orders on demand may have gone out: what comes now may be
+	// this holder's own.
+	closed bool
 }
 
 // see takes in the replicas on demand that a look shows; ordering says that
 // orders for them may go out.
+//
+// Failure: the market is dry and nobody knows the demand. Replicas ordered on
+// demand in place of reclaimed ones were taken for found ones, and as many again
+// were ordered, up to the most.
 func (f *found) see(onDemand int, ordering bool) {
+	if f.closed {
+		return
+	}
 	grows := onDemand > f.onDemand
-	f.partial = f.partial || ordering && grows && f.grew
+	f.partial = ordering && grows && f.grew
 	f.grew = grows
+	f.closed = ordering
 	f.onDemand = max(f.onDemand, onDemand)
 }
 
--- a/scaling/start_test.go
+++ b/scaling/start_test.go
@@ -132,6 +132,29 @@
 	}
 }
 
+// reclaim takes all reclaimable replicas and gives no others.
+func (f *fleet) reclaim() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dry = true
+	kept := f.machines[:0]
+	for _, m := range f.machines {
+		if m.upstream.Instance.Market == zinniamast.Reclaimable {
+			f.board.Upstreams.Remove(m.upstream.Instance.ID)
+			continue
+		}
+		kept = append(kept, m)
+	}
+	f.machines = kept
+}
+
+// size is how many replicas there are, starting ones included.
+func (f *fleet) size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.machines)
+}
+
 // give places a request at the replica that is free first, and returns how long
 // it takes there; false means that it is refused.
 func (f *fleet) give(work time.Duration) (time.Duration, bool) {
@@ -300,6 +323,29 @@
 	check.True(o.fewest >= foundReplicas)
 }
 
+// Guards against taking one's own orders on demand for replicas that were found, while nobody knows the demand.
+func TestOwnOrdersAreNotFound(t *testing.T) {
+	check := is.New(t)
+	synctest.Test(t, func(*testing.T) {
+		f := &fleet{
+			board: blackboard.New(),
+		}
+		for i := range foundReplicas {
+			f.enter(domains[i%len(domains)], zinniamast.Reclaimable, time.Now())
+		}
+		asked, stop := f.run()
+		defer stop()
+		time.Sleep(3 * time.Second)
+		f.reclaim()
+		for range 20 * perSecond {
+			asked.Entered("svc", 2000)
+			asked.Left("svc")
+			time.Sleep(time.Second / perSecond)
+		}
+		check.True(f.size() <= foundReplicas)
+	})
+}
+
 // Guards against giving replicas back when all instances start again and do not know yet what is asked.
 func TestRestartOfAllInstancesKeepsTheFleet(t *testing.T) {
 	check := is.New(t)
