Keep the ports of cut links and of processes that are away

What callers saw: nothing; the faults are those of our tests, shown by runs.

The second was suspected of the product.

Cause: a cut link closed its listener, and the system gave its port to others. An outgoing connection that got it kept the link from healing; a replica of the soak that got it was asked what the cut-off node of package processtest went on asking.

Ruled out: a request of the product's own. Calls of an entry to a replica bear the instance that they expect, these do not; their path and key are the other face's.

Why the fix works: each port is bound, without listening, for as long as the test's process runs. The system gives a bound port to nobody who asks for any; those who name it may listen there, and connections in between are refused. The soak's line for a request that nobody sent tells its method, path and headers now.

--- a/processtest/link.go
+++ b/processtest/link.go
@@ -21,14 +21,15 @@
 type Link struct {
 	tb    testing.TB
 	proxy *toxiproxy.Proxy
-	// address stays the same when the link is cut and healed.
+	// address stays the link's own also while the link is cut.
 	address string
 }
 
 // NewLink returns a link without faults before host:port.
 func NewLink(tb testing.TB, name, target string) *Link {
 	tb.Helper()
-	proxy := toxiproxy.NewProxy(proxies(), name, "127.0.0.1:0", target)
+	address := FreeAddress(tb)
+	proxy := toxiproxy.NewProxy(proxies(), name, address, target)
 	if err := proxy.Start(); err != nil {
 		tb.Fatalf("link %s: %v", name, err)
 	}
@@ -36,7 +37,7 @@
 	return &Link{
 		tb:      tb,
 		proxy:   proxy,
-		address: proxy.Listen,
+		address: address,
 	}
 }
 
--- a/processtest/port.go
+++ b/processtest/port.go
@@ -4,35 +4,41 @@
 	"net"
 	"os"
 	"strconv"
-	"sync/atomic"
+	"syscall"
 	"testing"
 )
 
-// The ports that tests listen on lie below those that the system gives to
-// outgoing connections: one of those could otherwise take a port between the
-// moment it is chosen and the moment its process listens.
-const (
-	firstPort   = 12000
-	ports       = 20000
-	portsPerRun = 200
-)
-
-var nextPort atomic.Int64
-
-// FreeAddress returns host:port on which nothing listens.
+// FreeAddress returns host:port on which nothing listens. The port stays taken
+// for as long as this process runs: the system gives it to no other listener
+// that asks for any port, and to no outgoing connection. A listener that names
+// it may come and go; in between, connections to it are refused.
 func FreeAddress(tb testing.TB) string {
 	tb.Helper()
-	begin := int64(os.Getpid()) * portsPerRun
-	for range ports {
-		port := firstPort + (begin+nextPort.Add(1))%ports
-		address := net.JoinHostPort("127.0.0.1", strconv.FormatInt(port, 10))
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = listener.Close()
-		return address
+	port, err := reserve()
+	if err != nil {
+		tb.Fatalf("reserve a port: %v", err)
+	}
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+}
+
+// reserve binds a socket to a free port and never listens on it. SO_REUSEADDR
+// lets others, which net.Listen sets it for too, listen there nevertheless.
+func reserve() (port int, err error) {
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, os.NewSyscallError("socket", err)
+	}
+	if err := syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return 0, os.NewSyscallError("setsockopt", err)
+	}
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{
+		Addr: [4]byte{127, 0, 0, 1},
+	}); err != nil {
+		return 0, os.NewSyscallError("bind", err)
+	}
+	bound, err := syscall.Getsockname(socket)
+	if err != nil {
+		return 0, os.NewSyscallError("getsockname", err)
 	}
-	tb.Fatal("no free port")
-	return ""
+	return bound.(*syscall.SockaddrInet4).Port, nil
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -36,7 +36,7 @@
 	for _, r := range c.deployment.all() {
 		for _, run := range r.Runs() {
 			if !c.deployment.sent(run.ID) {
-				s.broke("a request %q ran that nobody sent", run.ID)
+				s.broke("a request %q ran that nobody sent: at %s, %s %s, %v", run.ID, r.ID, run.Method, run.Target, run.Header)
 			}
 			if run.Body != bodyOf(run.ID) {
 				s.broke("%s ran with the body %q", run.ID, run.Body)
