Wait for the nodes of a test, and keep the ports of instances in entry's tests

Package node ended its nodes without waiting for them, and closed the engines that they still ask; those ports then belong to other packages. Package entry chose ports by listening and closing, so that another process could take one before the instance listened, which New reports as an error. The nodes are waited for; entry's tests use processtest.FreeAddress. command, capacitypage and demo wait for what they start already; other users of httptest were not gone through one by one.

Found by reading, not shown by a run. No check changed.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -15,6 +14,7 @@
 
 	"zinniamast/entry"
 	"zinniamast/platform"
+	"zinniamast/processtest"
 	"zinniamast/standin/replica"
 	"zinniamast/standin/store"
 )
@@ -65,17 +65,6 @@
 		"tenants":[{"name":"acme","apiKeys":["k"],"ratePerS":1000,"burst":1000}]}`, version, prefix))
 }
 
-// free returns host:port that nobody listens on.
-func free(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // start starts an instance and waits until it says that it is ready.
 func (f *fleet) start(name string, seeds ...string) {
 	f.t.Helper()
@@ -89,9 +78,9 @@
 	s := &platform.Settings{
 		Instance:      name,
 		FailureDomain: "here",
-		Frontend:      free(f.t),
-		Ready:         free(f.t),
-		Peer:          free(f.t),
+		Frontend:      processtest.FreeAddress(f.t),
+		Ready:         processtest.FreeAddress(f.t),
+		Peer:          processtest.FreeAddress(f.t),
 		Seeds:         seeds,
 		StopTimeout:   f.stopTimeout,
 		StoreAddress:  f.store.Address(),
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -128,15 +128,23 @@
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
-		go func() { done <- n.Run(ctx) }()
+		go func() {
+			done <- n.Run(ctx)
+			close(done)
+		}()
 		f.nodes = append(f.nodes, n)
 		f.stop = append(f.stop, cancel)
 		f.done = append(f.done, done)
 	}
+	// A node that outlives its test goes on asking at ports that others have by then.
 	t.Cleanup(func() {
 		for _, stop := range f.stop {
 			stop()
 		}
+		for _, done := range f.done {
+			for range done {
+			}
+		}
 	})
 	for _, n := range f.nodes {
 		until(t, func() bool { return len(n.Board().Members.All()) == 3 && len(n.Board().Upstreams.All()) == 4 })
