Let go of a moved request once its new engine has begun

What callers saw: when a failure domain was reclaimed, a stream that had been moved with its cache could pause as long as its prompt and tokens take to be computed again, at engines that had just taken over a third of the work.

Seen: TestReclaimedFailureDomainLosesNothing, once in 42 runs beside 12 busy threads, 979 tokens computed again where starting over costs 1,352 (KNOWN-RED.txt).

Cause: a leaving node holds a request back while its upstream leaves too, until its stream has moved. It took the beginning of the next attempt for that, which is before the engine has begun. The peer goes on at the same engine, but knows nothing of the cache that was moved there.

Evidence: a log of each attempt, hand-over and recomputation (trial copy). Hand-overs 14 and 33 ms after the attempt with the cache had begun; the peer's attempt, 0.4 and 1.3 ms later, without it; the engine computes 109 of 109 and 73 of 73 tokens. With engines that begin 300 ms late the new test fails before: 602 to 990 tokens, starting over 570.

Ruled out: failed transfers (none logged); a notice that came late or in parts (all three notices are logged before the node stops). A second way was seen and is not mended: the time for moves was over for two of twenty streams (docs/incidents/moved-cache-unused.md).

Why the fix works: a request counts as settled when its attempt has given a token of its own. The engine has begun with the moved cache then, and keeps what it holds when the attempt is ended. The bound of the wait is as before.

Figures: the listed test, unchanged, beside 12 busy threads, four at a time: before, 160 runs, at most 255 tokens, five above 100; after, 120 runs, 16 to 66 tokens. The new test: 5 or 6 tokens.

--- a/handoff/give.go
+++ b/handoff/give.go
@@ -23,9 +23,9 @@
 // copies, and only lets go of a request whose copy was acknowledged.
 //
 // A request whose upstream is leaving too is let go only when its stream has
-// moved, or at the given time: ending its attempt at once would cut the move
-// short, and the peer would have to compute prompt and tokens again. Until
-// then the peer's copy is what survives if this node dies.
+// moved and goes on, or at the given time: ending its attempt earlier would cut
+// the move short, and the peer would have to compute prompt and tokens again.
+// Until then the peer's copy is what survives if this node dies.
 func (x *Exchange) Give(ctx context.Context, until time.Time) (left int) {
 	var open []giving
 	for _, q := range x.config.Board.Requests.All() {
@@ -59,6 +59,9 @@
 		return true
 	default:
 	}
+	if q.Resuming() {
+		return false
+	}
 	_, id, _ := q.Progress()
 	upstream := x.config.Board.Upstreams.Get(id)
 	return upstream == nil || !upstream.Leaving()
--- /dev/null
+++ b/node/moved_test.go
@@ -0,0 +1,61 @@
+package node_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// slowStart holds back each request that goes on from a moved cache, as an
+// engine does that is busy when it arrives.
+func slowStart(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
+			return
+		}
+		q.Body = io.NopCloser(bytes.NewReader(body))
+		if bytes.Contains(body, []byte(`"kv_transfer_params"`)) {
+			select {
+			case <-time.After(300 * time.Millisecond):
+			case <-q.Context().Done():
+				return
+			}
+		}
+		next.ServeHTTP(w, q)
+	})
+}
+
+// Guards against a moved cache that nobody uses since the request was handed over before its engine had begun.
+func TestMovedCacheIsUsedAtHandover(t *testing.T) {
+	is := is.New(t)
+	const streams = 10
+	f := startFleetBehind(t, 30*time.Second, slowStart)
+	var group sync.WaitGroup
+	for i, prompt := range longPrompts(streams) {
+		group.Go(func() { f.stream(t, i, prompt, 1000) })
+	}
+	until(t, func() bool { return f.counts().Started == streams })
+	time.Sleep(500 * time.Millisecond)
+	startOver := 0
+	for _, q := range f.nodes[0].Board().Requests.All() {
+		if produced, at, _ := q.Progress(); at == "engine-0" || at == "engine-3" {
+			startOver += q.Call.PromptTokens + produced
+		}
+	}
+	f.platform.Cloud.ReclaimDomain("domain-0", 3*time.Second)
+	is.NoErr(<-f.done[0])
+	group.Wait()
+	f.settle(t)
+	counts := f.counts()
+	t.Logf("%d tokens recomputed, starting over %d, longest gap %s", counts.ResumeComputed, startOver, f.longest)
+	is.Equal(counts.BadResumes, 0)
+	is.Equal(counts.Finished, streams)
+	f.finishOnce(t, streams)
+	is.True(counts.ResumeComputed*2 < startOver)
+}
--- a/request/request.go
+++ b/request/request.go
@@ -81,17 +81,19 @@
 	// Call is what was asked; it does not change.
 	Call Call
 
-	mu        sync.Mutex
-	machine   *fsm.FSM
-	ids       []int32
-	text      []byte
-	ends      []int32
-	finish    string
-	usage     Usage
-	refusal   *zinniamast.Refusal
-	movedTo   string
-	upstream  string
-	attempt   string
+	mu       sync.Mutex
+	machine  *fsm.FSM
+	ids      []int32
+	text     []byte
+	ends     []int32
+	finish   string
+	usage    Usage
+	refusal  *zinniamast.Refusal
+	movedTo  string
+	upstream string
+	attempt  string
+	// resumed is how many tokens stood when the attempt began.
+	resumed   int
 	watchers  []*Watcher
 	attached  int
 	detached  time.Time
@@ -134,9 +136,18 @@
 	}
 	r.attempt = attempt
 	r.upstream = upstream
+	r.resumed = len(r.ids)
 	return true
 }
 
+// Resuming says whether the attempt is to go on from tokens of an earlier one and
+// has given none yet: its upstream may not have begun, and may hold no cache of them.
+func (r *Request) Resuming() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Current() == string(StateRunning) && r.resumed > 0 && len(r.ids) == r.resumed
+}
+
 // Retry records that the attempt ended without a whole answer.
 func (r *Request) Retry(attempt string, recomputed int) bool {
 	r.mu.Lock()
