Keep a stream at its leaving replica until another one takes it

What callers saw: a stream whose replica had announced to leave was ended at once, although no other replica took it. It got nothing until one did, and past its deadline it was lost, where its replica could have served it on, and often to its end.

Evidence: TestLeavingReplicaKeepsAStreamThatCannotMove, virtual time, three seconds of notice and two seconds of answer left, no other replica. Before: past_deadline, with and without a link for caches. After: whole, one attempt.

Why the fix works: the mover asks routing first, and again every 100 ms; the stream ends where it runs, or leaves as soon as a replica takes it (TestLeavingReplicaGivesAStreamToOneThatComes), or goes half a second before its own does, as before. Where another replica is there at once nothing changes.

--- a/attempt/move.go
+++ b/attempt/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"zinniamast/blackboard"
@@ -57,7 +58,7 @@
 		case move.Finish:
 			go finishOrResume(flights[i], at)
 		case move.Resume:
-			flights[i].stop(&moveOrder{})
+			go r.resumeElsewhere(flights[i], at)
 		}
 	}
 	r.transferAll(flights, plan.Transfers, at)
@@ -73,6 +74,44 @@
 	}
 }
 
+// resumeElsewhere ends a stream as soon as another replica takes it, and before
+// its own one goes at the latest.
+//
+// Failure: the other replicas are full or gone. A stream that is ended at once
+// gets nothing until one of them takes it, though its own could serve it on and
+// perhaps to its end.
+func (r *Runner) resumeElsewhere(f *flight, at time.Time) {
+	for r.runs(f) {
+		if r.destination(f) != nil || time.Until(at) <= leaveMargin {
+			f.stop(&moveOrder{})
+			return
+		}
+		select {
+		case <-f.request.Done():
+		case <-time.After(min(waitForUpstream, time.Until(at)-leaveMargin)):
+		}
+	}
+}
+
+// runs says whether an attempt is still under way.
+func (r *Runner) runs(f *flight) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running[f.attempt] == f
+}
+
+// destination returns the replica that takes a stream off its own one; nil if none does.
+func (r *Runner) destination(f *flight) *blackboard.Upstream {
+	need := *f.need
+	need.Produced, _, _ = f.request.Progress()
+	need.Avoid = append(slices.Clone(need.Avoid), f.upstream.Instance.ID)
+	choice, err := r.config.Router.Route(&need)
+	if err != nil {
+		return nil
+	}
+	return r.config.Board.Upstreams.Get(choice.Upstream)
+}
+
 // transferAll moves caches one after the other in the planned order: side by
 // side they would share the link and all arrive late. What the link has no
 // time for any more resumes from its tokens.
@@ -88,7 +127,7 @@
 		select {
 		case <-f.request.Done():
 		default:
-			f.stop(r.transfer(ctx, f))
+			r.transfer(ctx, f, at)
 		}
 	}
 }
@@ -119,18 +158,13 @@
 	return flights
 }
 
-// transfer moves the KV cache while the stream goes on at its old replica.
-func (r *Runner) transfer(ctx context.Context, f *flight) *moveOrder {
-	need := *f.need
-	need.Produced, _, _ = f.request.Progress()
-	need.Avoid = []string{f.upstream.Instance.ID}
-	choice, err := r.config.Router.Route(&need)
-	if err != nil {
-		return &moveOrder{}
-	}
-	target := r.config.Board.Upstreams.Get(choice.Upstream)
+// transfer moves the KV cache while the stream goes on at its old replica, and
+// lets it resume elsewhere if the cache cannot be moved.
+func (r *Runner) transfer(ctx context.Context, f *flight, at time.Time) {
+	target := r.destination(f)
 	if target == nil {
-		return &moveOrder{}
+		go r.resumeElsewhere(f, at)
+		return
 	}
 	handle, err := f.upstream.Engine.ExportKV(ctx, f.attempt)
 	if err == nil {
@@ -138,14 +172,15 @@
 	}
 	if err != nil {
 		r.config.Logger.Info("transfer failed",
-			"request", need.Request,
+			"request", f.request.Call.ID,
 			"upstream", f.upstream.Instance.ID,
-			"target", choice.Upstream,
+			"target", target.Instance.ID,
 			"cause", err)
-		return &moveOrder{}
+		go r.resumeElsewhere(f, at)
+		return
 	}
-	return &moveOrder{
-		target: choice.Upstream,
+	f.stop(&moveOrder{
+		target: target.Instance.ID,
 		handle: handle,
-	}
+	})
 }
--- /dev/null
+++ b/attempt/move_test.go
@@ -0,0 +1,61 @@
+package attempt_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	standin "zinniamast/standin/engine"
+)
+
+// Guards against a stream that is taken off its leaving replica while no other one takes it, and is then late or lost.
+func TestLeavingReplicaKeepsAStreamThatCannotMove(t *testing.T) {
+	for name, rate := range map[string]int64{
+		"resumed":     0,
+		"transferred": 1 << 30,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newRig(1, standin.Config{
+					BetweenTokens:  10 * time.Millisecond,
+					KVBytesASecond: 1 << 30,
+				}, rate)
+				defer g.stop()
+				// Some two seconds of its answer are left, too near the end of the notice to be counted on.
+				q := g.start(context.Background(), 3, 100, 300)
+				time.Sleep(time.Second)
+				g.board.Upstreams.MarkLeaving("engine-0", time.Now().Add(3*time.Second))
+				time.Sleep(3 * time.Second)
+				g.stops[0]()
+				whole(t, q)
+				is.Equal(g.engines[0].Counts().Started, 1)
+			})
+		})
+	}
+}
+
+// Guards against a stream that stays on its leaving replica although another one has come that takes it.
+func TestLeavingReplicaGivesAStreamToOneThatComes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRig(2, standin.Config{
+			BetweenTokens: 10 * time.Millisecond,
+		}, 0)
+		defer g.stop()
+		g.board.Upstreams.MarkLeaving("engine-1", time.Now().Add(time.Minute))
+		q := g.start(context.Background(), 3, 100, 900)
+		time.Sleep(time.Second)
+		g.board.Upstreams.MarkLeaving("engine-0", time.Now().Add(3*time.Second))
+		time.Sleep(time.Second)
+		is.Equal(g.engines[0].Running(), 1)
+		g.board.Upstreams.Readmit("engine-1")
+		time.Sleep(time.Second)
+		is.Equal(g.engines[0].Running(), 0)
+		is.Equal(g.engines[1].Running(), 1)
+		whole(t, q)
+	})
+}
