Tell callers whose requests outlast their node's stop

What callers saw: a request that still ran when its node's time to stop was up ended with a closed connection, which says nothing of whether it ran.

Cause: the stop waits for what runs, and then departs and ends the process.

Evidence: TestRequestThatOutlastsTheStopIsTold, a silent replica and a request that may not be repeated. Before, the instance returned from its stop with the request still running; after, 502 in time.

Why the fix works: half a second before its time is up the node ends what still runs, by a cause of its own, and callers get the status that what is known of the run allows: 502 where it may have run, 503 and a time to come back where it has not, a replica's own failure that is in hand. 100 ms are kept for that, of the 300 that the last writes have. Begun answers are broken off as before.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -228,8 +229,11 @@
 		Logger:     e.config.Logger,
 		Registerer: e.registry,
 	})
+	serving, giveUp := context.WithCancelCause(context.Background())
+	e.giveUp = giveUp
 	e.callers = &http.Server{
 		Handler:           handler,
+		BaseContext:       func(net.Listener) context.Context { return serving },
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"zinniamast/blackboard"
 	"zinniamast/clock"
 	"zinniamast/demand"
+	"zinniamast/forward"
 	"zinniamast/lease"
 	"zinniamast/limits"
 	"zinniamast/membership"
@@ -76,9 +77,12 @@
 	// replicaIdleTimeout is how long a connection to a replica is kept without use.
 	replicaIdleTimeout = 4 * time.Second
 	// stopMargin is what is left of the time to stop when running requests are
-	// given up, for the last writes; exitMargin is what is left when those are.
+	// given up, for their callers to be told and for the last writes; exitMargin
+	// is what is left when those are given up.
 	stopMargin = 500 * time.Millisecond
 	exitMargin = 200 * time.Millisecond
+	// tellTimeout bounds how long callers are told that their requests were given up.
+	tellTimeout = 100 * time.Millisecond
 )
 
 // Entry is one entry instance.
@@ -110,6 +114,8 @@
 	scaling   *scaling.Controller
 	registry  *prometheus.Registry
 	callers   *http.Server
+	// giveUp ends what is still running for callers.
+	giveUp    context.CancelCauseFunc
 	ready     *http.Server
 	listeners []net.Listener
 	stopping  atomic.Bool
@@ -264,6 +270,7 @@
 	e.closing.Store(true)
 	if err := e.callers.Shutdown(ctx); err != nil {
 		e.config.Logger.Warn("stopped with requests running", "cause", err)
+		e.giveUpRequests()
 	}
 	e.members.Depart(ctx)
 	if err := e.peers.Close(ctx); err != nil {
@@ -274,6 +281,18 @@
 	e.config.Logger.Info("stopped", "instance", e.config.Settings.Instance, "took", time.Since(began))
 }
 
+// giveUpRequests ends the requests that outlast the stop. Those whose answer has
+// not begun are told so with a status: a closed connection says nothing of
+// whether they ran.
+func (e *Entry) giveUpRequests() {
+	e.giveUp(forward.ErrStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	if err := e.callers.Shutdown(ctx); err != nil {
+		e.config.Logger.Warn("stopped with callers untold", "cause", err)
+	}
+}
+
 // stopLinger is how long a stopping node goes on accepting: the balancer asks
 // each second and takes a node out after two answers, and a request that is
 // accepted must end within the rest of the time to stop.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -262,3 +262,24 @@
 	f.served("edge-2", "/pay/x")
 	f.store.SetFault(store.Fault{})
 }
+
+// Guards against a closed connection, which tells nothing, for a request that outlasts its node's time to stop.
+func TestRequestThatOutlastsTheStopIsTold(t *testing.T) {
+	f := newFleet(t)
+	f.stopTimeout = 1500 * time.Millisecond
+	f.start("edge-1")
+	f.served("edge-1", "/pay/x")
+	f.replica.Behave(replica.Behaviour{
+		Hang: true,
+	})
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := f.call("edge-1", "/pay/x")
+		answered <- status
+	}()
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	f.stops["edge-1"]()
+	f.is.True(time.Since(began) < f.stopTimeout)
+	f.is.Equal(<-answered, http.StatusBadGateway) // it may have run
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -391,8 +391,19 @@
 	return zinniamast.Refuse(zinniamast.ReasonUpstreamFailed, "the replica failed").With(c.ran)
 }
 
-// ended is the refusal of a request whose time is up or whose caller has left.
+// ErrStopping is the cause with which a node that has no more time to stop ends
+// what it still runs.
+var ErrStopping = errors.New("forward: the node stops")
+
+// stopped says whether a request was ended by the stop of its node.
+func stopped(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopping) }
+
+// ended is the refusal of a request whose time is up, whose caller has left or
+// whose node has no more time to stop.
 func (h *Handler) ended(ctx context.Context, c *call) *zinniamast.Refusal {
+	if stopped(ctx) {
+		return zinniamast.Refuse(zinniamast.ReasonStopping, "this node stops").With(c.ran).After(stoppingRetryAfter)
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		if c.ran == zinniamast.NotRun {
 			return zinniamast.Refuse(zinniamast.ReasonDeadlineUnmet, "no replica took the request in time")
@@ -413,7 +424,7 @@
 			"elapsed", time.Since(c.arrived).Round(time.Millisecond), "left", c.remaining())
 		panic(http.ErrAbortHandler)
 	}
-	if c.held != nil && ctx.Err() == nil {
+	if c.held != nil && (ctx.Err() == nil || stopped(ctx)) {
 		c.held.deliver(a.writer)
 		h.finishedHeld(c)
 		return
