Tell found replicas from ordered ones by their age, and wait for a list that grows

Cause: closed what was found at the moment at which orders on demand may go out, so that the holder's own orders were not counted. The list of replicas began half a second later: nothing was found, and those that came were given back before the first callers.

Ruled out: the demand (none is known until callers come); refusals of the market (none before 7.5 s).

Why the fix works: a replica on demand counts as found unless this holder ordered one that may be there by now, half of the time that one takes to start.

--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -34,6 +34,8 @@
 	// Failure: replicas enter themselves in the list within a second or two. The
 	// least number, ordered before they were seen, took the others away.
 	settleFor = 2 * time.Second
+	// growsFor is how long a list that has grown may still grow.
+	growsFor = time.Second
 	// unknownStart stands for a service that does not say how long its replicas
 	// take to start.
 	unknownStart = 4 * time.Second
@@ -152,6 +154,8 @@
 	needs Needs
 	// found is what was there at first; nil before the first look.
 	found *found
+	// bought are this holder's orders on demand.
+	bought []bought
 	// known says that the work of enough requests was known to size the demand.
 	known bool
 	// dry says that reclaimable replicas were refused when last asked for.
@@ -164,29 +168,64 @@
 	reclaimable int
 	onDemand    int
 	// grew says that the last look showed more than the one before, and partial
-	// that two looks in a row did when orders began: the list was not whole.
+	// that two looks in a row did once orders had begun: the list was not whole.
 	grew    bool
 	partial bool
-	// closed says that orders on demand may have gone out: what comes now may be
-	// this holder's own.
-	closed bool
+	// grewAt is when a look last showed more.
+	grewAt time.Time
 }
 
-// see takes in the replicas on demand that a look shows; ordering says that
-// orders for them may go out.
+// see takes in the replicas on demand that a look shows and this holder did not
+// order; ordering says that orders for them may go out.
+func (f *found) see(onDemand int, ordering bool, now time.Time) {
+	grows := onDemand > f.onDemand
+	if grows {
+		f.grewAt = now
+	}
+	f.partial = f.partial || ordering && grows && f.grew
+	f.grew = grows
+	f.onDemand = max(f.onDemand, onDemand)
+}
+
+// bought is a number of replicas on demand that this holder ordered at a time.
+type bought struct {
+	count int
+	at    time.Time
+}
+
+// buy notes an order on demand for so many more replicas.
+func (s *service) buy(count int, now time.Time) {
+	if count > 0 {
+		s.bought = append(s.bought, bought{
+			count: count,
+			at:    now,
+		})
+	}
+}
+
+// own is how many of the replicas on demand may be this holder's own orders: one
+// that is there within half of the usual time to start was on its way before.
 //
 // Failure: the market is dry and nobody knows the demand. Replicas ordered on
 // demand in place of reclaimed ones were taken for found ones, and as many again
 // were ordered, up to the most.
-func (f *found) see(onDemand int, ordering bool) {
-	if f.closed {
-		return
+func (s *service) own(now time.Time) int {
+	sum := 0
+	for _, b := range s.bought {
+		if now.Sub(b.at) >= s.needs.Start/2 {
+			sum += b.count
+		}
 	}
-	grows := onDemand > f.onDemand
-	f.partial = ordering && grows && f.grew
-	f.grew = grows
-	f.closed = ordering
-	f.onDemand = max(f.onDemand, onDemand)
+	return sum
+}
+
+// listed says whether the list of replicas seems whole, or callers have told what
+// they need.
+//
+// Failure: the list begins a moment after orders may go out. An order for the
+// replicas on demand that are seen takes the others away.
+func (s *service) listed(now time.Time) bool {
+	return s.known || s.found == nil || now.Sub(s.found.grewAt) >= growsFor
 }
 
 // serviceOf returns what is known of a service.
@@ -210,7 +249,7 @@
 func (s *service) add(state State, ordering bool, now time.Time) {
 	s.known = s.known || sizedPart(state.Load) >= knownPart
 	if !s.known {
-		s.see(state, ordering)
+		s.see(state, ordering, now)
 		needed := 0
 		if state.Load.Arrivals > 0 {
 			needed = withoutSpareDomain(s.before(state), len(state.Domains))
@@ -221,13 +260,13 @@
 }
 
 // see takes in what a look shows while the demand is not known.
-func (s *service) see(state State, ordering bool) {
+func (s *service) see(state State, ordering bool, now time.Time) {
 	if s.found == nil {
 		s.found = &found{
 			reclaimable: presentIn(state, zinniamast.Reclaimable),
 		}
 	}
-	s.found.see(presentIn(state, zinniamast.OnDemand), ordering)
+	s.found.see(presentIn(state, zinniamast.OnDemand)-s.own(now), ordering, now)
 }
 
 // before is how many replicas there were before this holder ordered any.
@@ -327,7 +366,8 @@
 		place:   place,
 	}
 	now := time.Now()
-	if !c.settled(now) && (place.Market == zinniamast.OnDemand || count < s.Present[place]) {
+	settled := c.settled(now) && c.services[service].listed(now)
+	if !settled && (place.Market == zinniamast.OnDemand || count < s.Present[place]) {
 		return false
 	}
 	last, known := c.orders[key]
@@ -371,6 +411,9 @@
 	}
 	switch {
 	case err == nil:
+		if key.place.Market == zinniamast.OnDemand {
+			c.services[key.service].buy(count-max(s.Present[key.place], c.orders[key].count), time.Now())
+		}
 		c.orders[key] = order{
 			count: count,
 			at:    time.Now(),
--- a/scaling/start_test.go
+++ b/scaling/start_test.go
@@ -184,20 +184,30 @@
 	fewest int
 }
 
+// opening says how a fleet starts.
+type opening struct {
+	// listedFrom is when the first replica is listed.
+	listedFrom time.Duration
+	// dry refuses reclaimable replicas.
+	dry bool
+	// restarted starts all instances again once callers have come; they know nothing
+	// then, and read the list whole.
+	restarted bool
+}
+
 // start plays a controller that starts with the fleet, and callers that come
-// after the lead. Where restarted is set, all instances start again then, know
-// nothing, and read the list whole.
-func start(t *testing.T, dry, restarted bool) outcome {
+// after the lead.
+func start(t *testing.T, p opening) outcome {
 	t.Helper()
 	var o outcome
 	synctest.Test(t, func(*testing.T) {
 		f := &fleet{
 			board:  blackboard.New(),
-			dry:    dry,
+			dry:    p.dry,
 			fewest: foundReplicas,
 		}
 		for i := range foundReplicas {
-			listedAt := time.Now().Add(time.Second + time.Duration(i)*time.Second/listedInSecond)
+			listedAt := time.Now().Add(p.listedFrom + time.Duration(i)*time.Second/listedInSecond)
 			f.enter(domains[i%len(domains)], zinniamast.OnDemand, listedAt)
 		}
 		asked, stop := f.run()
@@ -206,7 +216,7 @@
 		o = ask(f, asked)
 		o.fewest = fewest
 		stop()
-		if !restarted {
+		if !p.restarted {
 			return
 		}
 		f.forget()
@@ -307,7 +317,20 @@
 // Guards against a fleet sized by the part of the list that is seen at first: callers then meet a quarter of it.
 func TestListThatComesInPartsServesTheFirstCallers(t *testing.T) {
 	check := is.New(t)
-	o := start(t, false, false)
+	o := start(t, opening{
+		listedFrom: time.Second,
+	})
+	t.Logf("%+v", o)
+	check.True(float64(o.inAim) >= 0.98*float64(o.asked))
+	check.Equal(o.refused, 0)
+}
+
+// Guards against a fleet given back since the list of it begins a moment after orders may go out.
+func TestListThatComesLateServesTheFirstCallers(t *testing.T) {
+	check := is.New(t)
+	o := start(t, opening{
+		listedFrom: 2200 * time.Millisecond,
+	})
 	t.Logf("%+v", o)
 	check.True(float64(o.inAim) >= 0.98*float64(o.asked))
 	check.Equal(o.refused, 0)
@@ -316,7 +339,10 @@
 // Guards against giving back dear replicas before anybody asks, while no cheap ones are to be had.
 func TestFoundReplicasStayWhileTheMarketIsDry(t *testing.T) {
 	check := is.New(t)
-	o := start(t, true, false)
+	o := start(t, opening{
+		listedFrom: time.Second,
+		dry:        true,
+	})
 	t.Logf("%+v", o)
 	check.True(float64(o.inAim) >= 0.98*float64(o.asked))
 	check.Equal(o.refused, 0)
@@ -349,7 +375,10 @@
 // Guards against giving replicas back when all instances start again and do not know yet what is asked.
 func TestRestartOfAllInstancesKeepsTheFleet(t *testing.T) {
 	check := is.New(t)
-	o := start(t, false, true)
+	o := start(t, opening{
+		listedFrom: time.Second,
+		restarted:  true,
+	})
 	t.Logf("%+v", o)
 	check.True(float64(o.inAim) >= 0.98*float64(o.asked))
 	check.Equal(o.refused, 0)
