End the search for another replica with the request

It returns with the request now. Only package attempt is touched, which package entry does not import.

--- a/attempt/move.go
+++ b/attempt/move.go
@@ -88,6 +88,7 @@
 		}
 		select {
 		case <-f.request.Done():
+			return
 		case <-time.After(min(waitForUpstream, time.Until(at)-leaveMargin)):
 		}
 	}
