--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -166,6 +166,20 @@
 	return response.StatusCode, string(body)
 }
 
+// hang sends a request that its replica never answers, and returns what gets its status.
+func (f *fleet) hang(name, path string) (answered <-chan int) {
+	f.replica.Behave(replica.Behaviour{
+		Hang: true,
+	})
+	status := make(chan int, 1)
+	go func() {
+		got, _ := f.call(name, path)
+		status <- got
+	}()
+	time.Sleep(100 * time.Millisecond)
+	return status
+}
+
 // A request goes the whole way, a change of the configuration is in force a
 // moment later, and a stop lets what runs end.
 func TestWholePath(t *testing.T) {
@@ -179,15 +193,7 @@
 	status, _ := f.call("edge-1", "/pay/x")
 	f.is.Equal(status, http.StatusNotFound)
 
-	f.replica.Behave(replica.Behaviour{
-		Hang: true,
-	})
-	answered := make(chan int, 1)
-	go func() {
-		status, _ := f.call("edge-1", "/book/x")
-		answered <- status
-	}()
-	time.Sleep(100 * time.Millisecond)
+	answered := f.hang("edge-1", "/book/x")
 	f.stops["edge-1"]()
 	f.is.Equal(<-answered, http.StatusGatewayTimeout) // the route's time, not the stop's
 }
@@ -227,15 +233,7 @@
 	f.stopTimeout = 1500 * time.Millisecond
 	f.start("edge-1")
 	f.served("edge-1", "/pay/x")
-	f.replica.Behave(replica.Behaviour{
-		Hang: true,
-	})
-	answered := make(chan struct{})
-	go func() {
-		defer close(answered)
-		f.call("edge-1", "/pay/x")
-	}()
-	time.Sleep(100 * time.Millisecond)
+	answered := f.hang("edge-1", "/pay/x")
 	f.store.SetFault(store.Fault{
 		Hang: true,
 	})
@@ -269,15 +267,7 @@
 	f.stopTimeout = 1500 * time.Millisecond
 	f.start("edge-1")
 	f.served("edge-1", "/pay/x")
-	f.replica.Behave(replica.Behaviour{
-		Hang: true,
-	})
-	answered := make(chan int, 1)
-	go func() {
-		status, _ := f.call("edge-1", "/pay/x")
-		answered <- status
-	}()
-	time.Sleep(100 * time.Millisecond)
+	answered := f.hang("edge-1", "/pay/x")
 	began := time.Now()
 	f.stops["edge-1"]()
 	f.is.True(time.Since(began) < f.stopTimeout)
