--- a/processtest/port.go
+++ b/processtest/port.go
@@ -21,8 +21,8 @@
 	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 }
 
-// reserve binds a socket to a free port and never listens on it. SO_REUSEADDR
-// lets others, which net.Listen sets it for too, listen there nevertheless.
+// reserve binds a socket to a free port and never listens on it. Both it and
+// net.Listen set SO_REUSEADDR, so that a listener that names the port gets it.
 func reserve() (port int, err error) {
 	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
--- a/processtest/port_test.go
+++ b/processtest/port_test.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// free says whether the system would give an address to one that asks for any
-// port, who shares none with a socket that is bound already.
+// free says whether nothing is bound to an address: without SO_REUSEADDR a
+// listener gets none that is.
 func free(t *testing.T, address string) bool {
 	t.Helper()
 	config := net.ListenConfig{
