Do not send a large plain answer again that its replica broke off

Callers of a safe route got the start of one answer and, within the same body, the start of another one, where the replica of an answer over 64 KiB broke off: a plain answer cannot be resumed, but the request was sent again after a part of the answer had reached the caller.

A begun answer that is not a stream is now cut short.

--- a/forward/run.go
+++ b/forward/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"zinniamast"
+	"zinniamast/routes"
 )
 
 const (
@@ -68,7 +69,7 @@
 		}
 		next := t.next()
 		if next == nil {
-			if refusal := h.checkRetry(ctx, c, failure); refusal != nil {
+			if refusal := h.checkRetry(ctx, a, c, failure); refusal != nil {
 				if refusal = h.awaitResume(ctx, a, c, refusal); refusal != nil {
 					h.giveUp(ctx, a, c, refusal)
 					return
@@ -177,7 +178,7 @@
 
 // checkRetry decides whether a request is sent again after a failed send. It returns
 // a refusal if not, and nil if so.
-func (h *Handler) checkRetry(ctx context.Context, c *call, failure *zinniamast.UpstreamError) *zinniamast.Refusal {
+func (h *Handler) checkRetry(ctx context.Context, a *answer, c *call, failure *zinniamast.UpstreamError) *zinniamast.Refusal {
 	if ctx.Err() != nil {
 		return h.endedRefusal(ctx, c)
 	}
@@ -191,6 +192,10 @@
 	if ran != zinniamast.NotRun && !c.route.Repeatable() {
 		return h.failedRefusal(c)
 	}
+	if a.begun && c.route.Kind != routes.Stream {
+		// The caller already has a part of this answer, and only a stream can be resumed.
+		return h.failedRefusal(c)
+	}
 	if ran != zinniamast.NotRun && c.sends >= c.route.MaxAttempts || c.arrivals >= maxArrivals {
 		return h.failedRefusal(c)
 	}
