Tell when the next retry is due, and let requests wait for it in order

retry.Window could only say yes or no, so that a request without a retry had to ask again and again, and nobody could know whether it would get one in time. It knows when the repeated sends of its slots leave the window and how many requests start in a second, and now tells from these when the next retry is due (RetryWait). AwaitRetry waits for it: the oldest request first, none that the limit is not expected to serve by the time that its caller gives, and none for a retry that is spoken for.

Nothing uses it yet.

--- a/retry/window.go
+++ b/retry/window.go
@@ -49,6 +49,8 @@
 	repeated [windowSlots + 1]int
 	// newest is the number of the newest slot.
 	newest int64
+	// waiters are the requests that wait for a repeated send, the oldest first.
+	waiters []*waiter
 }
 
 // NewWindow returns a window without any sends.
@@ -67,31 +69,55 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.counts(service)
-	c.started[c.newest%(windowSlots+1)]++
+	*c.startedIn(c.newest)++
+	w.grant(c)
 }
 
 // AllowRetry reports whether a request may be sent again, and counts the send if so.
+// Requests that wait in AwaitRetry come first.
 func (w *Window) AllowRetry(service string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c := w.counts(service)
-	started, repeated := 0, 0
+	w.grant(c)
+	if !w.hasRoom(c) {
+		return false
+	}
+	*c.repeatedIn(c.newest)++
+	return true
+}
+
+// hasRoom reports whether the limit allows one more repeated send. The caller holds the
+// lock.
+func (w *Window) hasRoom(c *counts) bool {
+	started, repeated := c.totals()
+	return float64(repeated+1) <= w.limit(float64(started))
+}
+
+// limit returns the number of repeated sends that the node may make in a window with the
+// given number of first sends.
+func (w *Window) limit(started float64) float64 {
+	return usableFraction * (w.config.Ratio*started + w.config.Slack/float64(max(1, w.config.Nodes())))
+}
+
+// totals returns the numbers of first sends and repeated sends within the window.
+func (c *counts) totals() (started, repeated int) {
 	for i := range c.started {
 		started += c.started[i]
 		repeated += c.repeated[i]
 	}
-	bound := usableFraction * (w.config.Ratio*float64(started) + w.config.Slack/float64(max(1, w.config.Nodes())))
-	if float64(repeated+1) > bound {
-		return false
-	}
-	c.repeated[c.newest%(windowSlots+1)]++
-	return true
+	return started, repeated
 }
 
+// startedIn returns the count of first sends in the slot with a number, and repeatedIn
+// that of repeated sends.
+func (c *counts) startedIn(slot int64) *int  { return &c.started[slot%(windowSlots+1)] }
+func (c *counts) repeatedIn(slot int64) *int { return &c.repeated[slot%(windowSlots+1)] }
+
 // counts returns a service's counts after clearing the slots that have expired.
 // The caller holds the lock.
 func (w *Window) counts(service string) *counts {
-	now := w.config.Now().UnixNano() / int64(w.config.Window/windowSlots)
+	now := w.config.Now().UnixNano() / int64(w.slotLength())
 	c, ok := w.services[service]
 	if !ok {
 		c = &counts{
@@ -101,9 +127,12 @@
 	}
 	for passed := 0; c.newest < now && passed <= windowSlots; passed++ {
 		c.newest++
-		c.started[c.newest%(windowSlots+1)] = 0
-		c.repeated[c.newest%(windowSlots+1)] = 0
+		*c.startedIn(c.newest) = 0
+		*c.repeatedIn(c.newest) = 0
 	}
 	c.newest = max(c.newest, now)
 	return c
 }
+
+// slotLength returns the length of a slot.
+func (w *Window) slotLength() time.Duration { return w.config.Window / windowSlots }
