End a begun stream at once that no replica can go on with

Where a begun stream's silent replica broke off and the node's share of retries was used up, or no replica was left, the node held the stream until its caller's time was up, with no run behind it. Its caller, who can resume the stream by itself with a request that no retry budget holds back, learned of it too late. Such a stream is now held only for what is expected:

- a retry that the budget is expected to allow before the caller leaves (the deadline, or the gap after which callers abandon a stream); several streams are not held for the same retry;
- full, failed or unreachable replicas that are asked again after a growing interval, as long as that ends before the caller leaves;
- a replica that is predicted to begin before the caller leaves.

A retry is charged only after the router has named a replica for it: a request that finds none left others with one retry less.

TestRequestEndsWithItsLastAttempt passed before: on the own interface nothing was held.

--- a/attempt/silent_test.go
+++ b/attempt/silent_test.go
@@ -107,3 +107,31 @@
 		})
 	}
 }
+
+// Guards against keeping a request until its deadline after its silent replica and all further ones have broken off.
+func TestRequestEndsWithItsLastAttempt(t *testing.T) {
+	const pause, maxAttempts = 4 * time.Second, 6
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		g := newRig(3, standin.Config{
+			FirstToken:    100 * time.Millisecond,
+			BetweenTokens: pause,
+		}, 0)
+		defer g.stop()
+		for _, e := range g.engines {
+			e.SetFaults(standin.Faults{
+				CutAfter: 2,
+			})
+		}
+		start := time.Now()
+		q := g.start(context.Background(), 1, 100, 100)
+		<-q.Done()
+		check.Equal(q.State(), request.StateFailed)
+		check.True(time.Since(start) < 2*maxAttempts*pause) // each attempt sends two tokens at most
+		started := 0
+		for _, e := range g.engines {
+			started += e.Counts().Started
+		}
+		check.True(started <= maxAttempts)
+	})
+}
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -103,6 +103,19 @@
 	return !e.isSpent() && e.Window.AllowRetry(service)
 }
 
+// RetryWait implements forward.RetryBudget.
+func (e exhaustibleBudget) RetryWait(service string) (time.Duration, bool) {
+	if e.isSpent() {
+		return 0, false
+	}
+	return e.Window.RetryWait(service)
+}
+
+// AwaitRetry implements forward.RetryBudget.
+func (e exhaustibleBudget) AwaitRetry(ctx context.Context, service string, by time.Time) bool {
+	return !e.isSpent() && e.Window.AwaitRetry(ctx, service, by)
+}
+
 // Take implements forward.Allowance. It grants every request unless refusalWait is
 // set.
 func (f *fixture) Take(context.Context, *routes.Organisation, float64, int) (time.Duration, bool) {
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -26,6 +26,9 @@
 	Started(service string)
 	// AllowRetry reports whether one more retry may be sent, and counts it if so.
 	AllowRetry(service string) bool
+	// AwaitRetry waits until one more retry may be sent, and counts it. It returns false
+	// as soon as that is no longer expected by the given time, and when ctx ends.
+	AwaitRetry(ctx context.Context, service string, by time.Time) bool
 }
 
 // Allowance limits the requests or tokens of each organisation over all nodes.
@@ -187,8 +190,8 @@
 	dials    int
 	// ran tells whether the request has run, judging by all sends so far.
 	ran zinniamast.Ran
-	// retryCharged reports whether the retry budget was charged for the next send.
-	retryCharged bool
+	// owesRetry reports whether the next send must be charged to the retry budget.
+	owesRetry bool
 	// metSilence reports whether a replica was silent since the last event. resumeWaits
 	// counts the waits before a resumption since then, up to maxResumeDoublings, and
 	// resumeAt is the end of the last one.
--- a/forward/run.go
+++ b/forward/run.go
@@ -19,8 +19,8 @@
 	maxArrivals = 3
 	// maxDials bounds the failed connection attempts of one request.
 	maxDials = 4
-	// resumeInterval is the wait before a stream that left a silent replica is sent
-	// again. It doubles with each try, at most maxResumeDoublings times.
+	// resumeInterval is the wait before a begun stream asks replicas again that have
+	// failed or refused it. It doubles with each try, at most maxResumeDoublings times.
 	resumeInterval     = 100 * time.Millisecond
 	maxResumeDoublings = 4
 	// noReplicaRetryAfter is the retry delay for a service without replicas. Replicas
@@ -47,43 +47,51 @@
 		answer:  a,
 	}
 	var s *send
+	var failure *zinniamast.UpstreamError
 	for {
+		var to routed
 		if s == nil {
-			to, refusal := h.choose(c, h.avoided(c))
-			if refusal != nil {
-				if refusal = h.awaitResume(ctx, a, c, refusal); refusal == nil {
-					continue
-				}
+			var refusal *zinniamast.Refusal
+			if to, refusal = h.nextReplica(ctx, a, c); refusal != nil {
 				h.giveUp(ctx, a, c, refusal)
 				return
 			}
+		}
+		if failure != nil {
+			h.recordRetry(ctx, a, c, failure)
+		}
+		if s == nil {
 			if c.sendsStarted == 0 {
 				h.metrics.timeToSend.Observe(time.Since(c.arrived).Seconds())
 			}
 			s = h.newSend(ctx, c, a, to)
 		}
-		failure := h.attempt(t, s)
-		if failure == nil {
+		if failure = h.attempt(t, s); failure == nil {
 			h.recordAnswer(a, c, s.upstream)
 			return
 		}
-		next := t.next()
-		if next == nil {
-			if refusal := h.checkRetry(ctx, a, c, failure); refusal != nil {
-				if refusal = h.awaitResume(ctx, a, c, refusal); refusal != nil {
-					h.giveUp(ctx, a, c, refusal)
-					return
-				}
-				c.dials = 0
-			}
+		if s = t.next(); s != nil {
+			continue
 		}
-		if ctx.Err() == nil {
-			h.metrics.retried.WithLabelValues(string(failure.Failure)).Inc()
-			h.config.Logger.Warn("send failed, retrying request", "request", c.metadata.ID, "service", c.service, "replica", s.upstream.Instance.ID,
-				"failure", failure.Failure, "cause", failure.Cause, "sends", c.sends, "arrivals", c.arrivals, "after", string(a.lastID))
+		refusal := h.checkRetry(ctx, a, c, failure)
+		if refusal != nil {
+			refusal = h.awaitReplicas(ctx, a, c, refusal)
 		}
-		s = next
+		if refusal != nil {
+			h.giveUp(ctx, a, c, refusal)
+			return
+		}
+	}
+}
+
+// recordRetry counts and logs that a request goes on at another replica after a failure.
+func (h *Handler) recordRetry(ctx context.Context, a *answer, c *call, failure *zinniamast.UpstreamError) {
+	if ctx.Err() != nil {
+		return
 	}
+	h.metrics.retried.WithLabelValues(string(failure.Failure)).Inc()
+	h.config.Logger.Warn("send failed, retrying request", "request", c.metadata.ID, "service", c.service, "replica", failure.Upstream,
+		"failure", failure.Failure, "cause", failure.Cause, "sends", c.sends, "arrivals", c.arrivals, "after", string(a.lastID))
 }
 
 // attempt forwards the answer of a send to the caller, watched for silence of the
@@ -176,18 +184,20 @@
 	return c.organisation.Name
 }
 
-// checkRetry decides whether a request is sent again after a failed send. It returns
+// checkRetry decides whether a request may be sent again after a failed send. It returns
 // a refusal if not, and nil if so.
 func (h *Handler) checkRetry(ctx context.Context, a *answer, c *call, failure *zinniamast.UpstreamError) *zinniamast.Refusal {
 	if ctx.Err() != nil {
 		return h.endedRefusal(ctx, c)
 	}
 	if c.dials >= maxDials {
+		c.owesRetry = true
 		return zinniamast.Refuse(zinniamast.ReasonNoUpstream, "no replica takes connections").WithRan(c.ran).WithRetryAfter(noReplicaRetryAfter)
 	}
 	if failure.Failure == zinniamast.FailureDial {
 		return nil
 	}
+	c.owesRetry = true
 	ran := failure.Outcome().Ran
 	if ran != zinniamast.NotRun && !c.route.Repeatable() {
 		return h.failedRefusal(c)
@@ -199,40 +209,9 @@
 	if ran != zinniamast.NotRun && c.sends >= c.route.MaxAttempts || c.arrivals >= maxArrivals {
 		return h.failedRefusal(c)
 	}
-	return h.chargeRetry(c)
-}
-
-// chargeRetry charges the retry budget for the next send of a request, unless that
-// send was charged already. It returns a refusal if the budget is used up.
-func (h *Handler) chargeRetry(c *call) *zinniamast.Refusal {
-	if !c.retryCharged && !h.config.RetryBudget.AllowRetry(c.service) {
-		return zinniamast.Refuse(zinniamast.ReasonRetryBudget, "the service's retries are used up").WithRan(c.ran).WithRetryAfter(fullRetryAfter)
-	}
-	c.retryCharged = true
 	return nil
 }
 
-// awaitResume waits until a begun stream whose replica was silent may be sent again,
-// with a growing interval between tries. The other replicas may be full only
-// for a moment. It returns nil, or a refusal if the stream cannot be resumed.
-func (h *Handler) awaitResume(ctx context.Context, a *answer, c *call, refusal *zinniamast.Refusal) *zinniamast.Refusal {
-	if !a.begun || !c.metSilence || c.sends >= c.route.MaxAttempts {
-		return refusal
-	}
-	c.avoid = nil
-	for {
-		select {
-		case <-time.After(resumeInterval << c.resumeWaits):
-		case <-ctx.Done():
-			return h.endedRefusal(ctx, c)
-		}
-		c.resumeWaits = min(c.resumeWaits+1, maxResumeDoublings)
-		if h.chargeRetry(c) == nil {
-			return nil
-		}
-	}
-}
-
 // avoidOtherDomains restricts a request to this node's failure domain after a failed
 // connection attempt, if the domain has another replica that has not been asked.
 //
--- a/forward/send.go
+++ b/forward/send.go
@@ -129,7 +129,7 @@
 		s.attempt += "/" + strconv.Itoa(c.sendsStarted)
 	}
 	c.sendsStarted++
-	c.retryCharged = false
+	c.owesRetry = false
 	if source := h.config.Upstreams.Get(choice.FetchFrom); source != nil {
 		s.fetchFrom = source.Instance.Address
 	}
--- a/forward/stage_test.go
+++ b/forward/stage_test.go
@@ -96,6 +96,21 @@
 	return isAllowed
 }
 
+// RetryWait implements forward.RetryBudget.
+func (s *stage) RetryWait(service string) (time.Duration, bool) { return s.budget.RetryWait(service) }
+
+// AwaitRetry implements forward.RetryBudget.
+func (s *stage) AwaitRetry(ctx context.Context, service string, by time.Time) bool {
+	isAllowed := s.budget.AwaitRetry(ctx, service, by)
+	s.note("retry budget awaited, allows: %v", isAllowed)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if isAllowed {
+		s.charges++
+	}
+	return isAllowed
+}
+
 // Route implements zinniamast.Router. It chooses the first replica by ID.
 func (s *stage) Route(request *zinniamast.RouteRequest) (zinniamast.Choice, error) {
 	for _, id := range []string{"i-a", "i-b", "i-c"} {
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -106,7 +106,7 @@
 	if refusal != nil || to.choice.FirstToken > min(silenceTimeoutsOf(c).first, time.Until(c.deadline)) {
 		return routed{}, false
 	}
-	return to, h.chargeRetry(c) == nil
+	return to, h.config.RetryBudget.AllowRetry(c.service)
 }
 
 // avoided returns the replicas that must not get a further send.
