Ask the router for a further replica only if a retry is left

A request at a silent replica asked the router every 200 ms although the node's share of retries was used up, and each question stood among the choices that explain tells.

TestRouterIsNotAskedWithoutRetries failed before.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -26,6 +26,9 @@
 	Started(service string)
 	// AllowRetry reports whether one more retry may be sent, and counts it if so.
 	AllowRetry(service string) bool
+	// RetryWait returns the time until one more retry is expected to be allowed; zero if
+	// it is allowed now. It returns false if that is not expected at all.
+	RetryWait(service string) (wait time.Duration, ok bool)
 	// AwaitRetry waits until one more retry may be sent, and counts it. It returns false
 	// as soon as that is no longer expected by the given time, and when ctx ends.
 	AwaitRetry(ctx context.Context, service string, by time.Time) bool
--- a/forward/resume_test.go
+++ b/forward/resume_test.go
@@ -201,6 +201,26 @@
 	})
 }
 
+// Guards against asking the router for replicas while the retry budget is used up.
+func TestRouterIsNotAskedWithoutRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 50
+		o := newOverlap(t, 20, 3, reacts(staysSilent))
+		o.budget = newBudget(0.2, 5, 10*time.Second)
+		router := &countingRouter{
+			overlap: o,
+		}
+		o.useRouter(router)
+		var callers sync.WaitGroup
+		for i := range streams {
+			callers.Go(func() { o.call(pathResumable, "r-"+strconv.Itoa(i)) })
+		}
+		callers.Wait()
+		o.checkAccounts()
+		o.is.True(int(router.choices.Load()) <= o.sent+streams) // each stream loses one race for a retry at most
+	})
+}
+
 // Guards against charging a retry that no replica gets.
 func TestRetryWithoutReplicaIsNotCharged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -89,13 +89,16 @@
 
 // choose returns a replica for a further send beside those in progress, and charges the
 // retry budget for it. The replica must be predicted to send the first token before it
-// would count as silent itself.
+// would count as silent itself. The router is asked only if the budget has a retry left.
 func (t *takeover) choose() (routed, bool) {
 	h, c := t.handler, t.call
 	inProgress := 1 + len(t.pending)
 	if c.sends+inProgress >= c.route.MaxAttempts {
 		return routed{}, false
 	}
+	if wait, ok := h.config.RetryBudget.RetryWait(c.service); !ok || wait > 0 {
+		return routed{}, false
+	}
 	if (c.arrivals+inProgress >= maxArrivals || c.dials >= maxDials) && !t.forgetFailures() {
 		return routed{}, false
 	}
