--- a/forward/stage_test.go
+++ b/forward/stage_test.go
@@ -86,14 +86,7 @@
 
 // AllowRetry implements forward.RetryBudget.
 func (s *stage) AllowRetry(service string) bool {
-	isAllowed := s.budget.AllowRetry(service)
-	s.note("retry budget asked, allows: %v", isAllowed)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if isAllowed {
-		s.charges++
-	}
-	return isAllowed
+	return s.countCharge("asked", s.budget.AllowRetry(service))
 }
 
 // RetryWait implements forward.RetryBudget.
@@ -101,8 +94,12 @@
 
 // AwaitRetry implements forward.RetryBudget.
 func (s *stage) AwaitRetry(ctx context.Context, service string, by time.Time) bool {
-	isAllowed := s.budget.AwaitRetry(ctx, service, by)
-	s.note("retry budget awaited, allows: %v", isAllowed)
+	return s.countCharge("awaited", s.budget.AwaitRetry(ctx, service, by))
+}
+
+// countCharge counts a retry if the budget allowed it, and returns whether it did.
+func (s *stage) countCharge(how string, isAllowed bool) bool {
+	s.note("retry budget %s, allows: %v", how, isAllowed)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if isAllowed {
--- a/retry/wait_test.go
+++ b/retry/wait_test.go
@@ -143,8 +143,7 @@
 	})
 }
 
-// Repeated sends that were waited for count like the others: over all nodes and in every
-// window, they stay within the ratio of the requests plus the slack.
+// Guards against repeated sends that were waited for and exceed, over all nodes, the ratio of the requests plus the slack.
 func TestWindowLimitsRepeatsThatWereAwaited(t *testing.T) {
 	const ratio, slack, window = 0.2, 12.0, 10 * time.Second
 	rapid.Check(t, func(r *rapid.T) {
