Ask the next contact of a failure domain when one fails or knows nothing

The reader of a failure domain fetched the load reports and the demand of each other one from its first known live member there. It asked the same one again and again where that did not answer, and nobody where gossip had not told of any member yet; meanwhile replicas were chosen without reports and ordered by part of the demand.

Now contacts come from the roster and from the members together, without those known as dead or leaving, the likely reader first (one hop less for the same report). A contact that fails, or that answers without the load of its own domain, is followed by the next at once; after a whole round there is a pause.

--- a/entry/peerclient.go
+++ b/entry/peerclient.go
@@ -5,11 +5,10 @@
 	"errors"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"zinniamast/blackboard"
 	"zinniamast/registry"
 	"zinniamast/reports"
+	"zinniamast/roster"
 	"zinniamast/usage"
 )
 
@@ -60,17 +59,17 @@
 }
 
 // reader returns the node that follows the store on behalf of this failure domain:
-// the live one with the highest hash. False means this node. Nodes with different
+// the live one of the highest rank. False means this node. Nodes with different
 // views of the membership may use different readers for a moment, which is safe.
 func (e *Entry) reader() (peerClient, bool) {
 	s := e.config.Settings
-	best, highest := blackboard.Member{}, xxh3.HashString(s.Instance)
+	best, highest := blackboard.Member{}, roster.Rank(s.Instance)
 	for _, member := range e.board.Members.All() {
 		if member.Dead || member.Leaving || member.ID == s.Instance || member.FailureDomain != s.FailureDomain {
 			continue
 		}
-		if hash := xxh3.HashString(member.ID); hash > highest {
-			best, highest = member, hash
+		if rank := roster.Rank(member.ID); rank > highest {
+			best, highest = member, rank
 		}
 	}
 	return peerClient{
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -6,6 +6,7 @@
 	"zinniamast"
 	"zinniamast/platform"
 	"zinniamast/reports"
+	"zinniamast/roster"
 )
 
 // reportsName is the RPC service name under which nodes exchange replicas' load reports.
@@ -21,7 +22,7 @@
 		Upstreams:      e.board.Upstreams,
 		Source:         platform.Reports{},
 		Reader:         e.reportReader,
-		Contact:        e.reportContact,
+		Contacts:       e.reportContacts,
 		IsPlain:        e.isPlain,
 		Demand:         e.demand,
 		OnReport:       e.handleReport,
@@ -37,17 +38,16 @@
 	}
 }
 
-// reportContact returns any live node of a failure domain.
-func (e *Entry) reportContact(failureDomain string) reports.Peer {
-	for _, member := range e.board.Members.All() {
-		if member.FailureDomain == failureDomain && !member.Dead && !member.Leaving {
-			return peerClient{
-				entry:   e,
-				address: member.Address,
-			}
-		}
+// reportContacts returns the instances of a failure domain, the likely reader first.
+func (e *Entry) reportContacts(failureDomain string) []reports.Peer {
+	var contacts []reports.Peer
+	for _, address := range roster.Contacts(failureDomain, e.roster.Instances(), e.board.Members.All()) {
+		contacts = append(contacts, peerClient{
+			entry:   e,
+			address: address,
+		})
 	}
-	return nil
+	return contacts
 }
 
 // ReportReceiver serves load reports to other nodes.
--- a/reports/reports_test.go
+++ b/reports/reports_test.go
@@ -55,6 +55,8 @@
 	demand *demand.Demand
 	sharer *reports.Sharer
 	dead   atomic.Bool
+	// blind means that the node answers others without knowing anything.
+	blind atomic.Bool
 
 	mu       sync.Mutex
 	received map[string]zinniamast.LoadReport
@@ -86,6 +88,9 @@
 		<-ctx.Done()
 		return reports.Answer{}, errDead
 	}
+	if n.blind.Load() && query.FailureDomain != "" {
+		return reports.Answer{}, nil
+	}
 	return n.sharer.Answer(ctx, query), nil
 }
 
@@ -99,6 +104,17 @@
 	return nil
 }
 
+// contacts returns all nodes of a failure domain, dead ones included.
+func (d *deployment) contacts(domain string) []reports.Peer {
+	var contacts []reports.Peer
+	for _, n := range d.nodes {
+		if n.domain == domain {
+			contacts = append(contacts, n)
+		}
+	}
+	return contacts
+}
+
 // runDeployment runs a test on a deployment in virtual time.
 func runDeployment(t *testing.T, perDomain int, test func(check *is.I, d *deployment)) {
 	t.Helper()
@@ -145,12 +161,7 @@
 				}
 				return nil
 			},
-			Contact: func(domain string) reports.Peer {
-				if contact := d.firstAlive(domain); contact != nil {
-					return contact
-				}
-				return nil
-			},
+			Contacts: d.contacts,
 			IsPlain:  func(string) bool { return false },
 			Demand:   n.demand,
 			OnReport: n.receive,
@@ -218,6 +229,41 @@
 	})
 }
 
+// TestContactThatFailsIsReplaced guards against a failure domain whose load and reports
+// stay unknown elsewhere because the first contact there does not answer.
+func TestContactThatFailsIsReplaced(t *testing.T) {
+	runDeployment(t, 4, func(check *is.I, d *deployment) {
+		d.nodes[1].dead.Store(true)
+		d.nodes[3].dead.Store(true)
+		for range 10 {
+			d.nodes[5].demand.RequestStarted("models", 1000)
+		}
+		time.Sleep(6 * time.Second)
+		d.replicas.setRunning(7)
+		time.Sleep(time.Second)
+		for _, n := range d.nodes {
+			if n.domain == "burnaby-a" {
+				check.Equal(n.latest("replica-surrey-b").Running, 7)
+				check.True(n.demand.Total("models").Running > 9)
+				check.True(n.demand.IsComplete())
+			}
+		}
+	})
+}
+
+// TestContactWithoutNewsIsReplaced guards against asking a node again and again that
+// answers but knows nothing of its failure domain.
+func TestContactWithoutNewsIsReplaced(t *testing.T) {
+	runDeployment(t, 4, func(check *is.I, d *deployment) {
+		d.nodes[1].blind.Store(true)
+		for range 10 {
+			d.nodes[5].demand.RequestStarted("models", 1000)
+		}
+		time.Sleep(4 * time.Second)
+		check.True(d.nodes[0].demand.Total("models").Running > 9)
+	})
+}
+
 // When the reader of a failure domain dies, the other nodes go on choosing
 // replicas by its last reports. The next node must read within two seconds, and
 // no older report may replace a newer one.
--- a/reports/share.go
+++ b/reports/share.go
@@ -45,8 +45,8 @@
 	// Reader returns the node that reads this failure domain's replicas; nil means
 	// this node.
 	Reader func() Peer
-	// Contact returns a node of another failure domain, or nil if none is known.
-	Contact func(failureDomain string) Peer
+	// Contacts returns the nodes of another failure domain, the most suitable first.
+	Contacts func(failureDomain string) []Peer
 	// IsPlain reports whether a service's replicas send no load reports.
 	IsPlain func(service string) bool
 	// Demand is the load of the services, sent together with the reports.
@@ -99,8 +99,8 @@
 	maxQueryWait = 2 * time.Second
 	// queryTimeout is the time after which an unanswered query counts as failed.
 	queryTimeout = 1300 * time.Millisecond
-	// retryDelay is the pause after a failed query, or while there is no node to
-	// query.
+	// retryDelay is the pause after a failed query of the reader, after all contacts of
+	// a failure domain have failed, or while there is no node to query.
 	retryDelay = 500 * time.Millisecond
 )
 
@@ -128,52 +128,65 @@
 			pause(ctx, readInterval)
 			continue
 		}
-		position = s.query(ctx, peer, Query{
+		answer, err := s.query(ctx, peer, Query{
 			Position: position,
 			Node:     s.config.Node,
 			Loads:    s.config.Demand.Own(),
 		})
+		position = answer.Position
+		if err != nil {
+			pause(ctx, retryDelay)
+		}
 	}
 }
 
 // shareOtherDomain fetches another failure domain's reports if this node is the
-// reader of its own.
+// reader of its own. It queries one contact until that fails or knows nothing of its
+// failure domain, and then the next.
 func (s *Sharer) shareOtherDomain(ctx context.Context, domain string) {
 	position := uint64(0)
+	failures := 0
 	for ctx.Err() == nil {
-		var peer Peer
+		var contacts []Peer
 		if s.config.Reader() == nil {
-			peer = s.config.Contact(domain)
+			contacts = s.config.Contacts(domain)
 		}
-		if peer == nil {
+		if len(contacts) == 0 {
 			pause(ctx, retryDelay)
 			continue
 		}
-		position = s.query(ctx, peer, Query{
+		answer, err := s.query(ctx, contacts[failures%len(contacts)], Query{
 			FailureDomain: domain,
 			Position:      position,
 		})
+		position = answer.Position
+		if _, known := answer.Demand[domain]; err == nil && known {
+			continue
+		}
+		failures++
+		if failures%len(contacts) == 0 {
+			pause(ctx, retryDelay)
+		}
 	}
 }
 
-// query stores the answer of a peer and returns the position to continue from. A
-// position that came from another peer is harmless: the answer contains reports
-// that are known already or, once, no new ones.
-func (s *Sharer) query(ctx context.Context, peer Peer, query Query) uint64 {
-	queryCtx, cancel := context.WithTimeout(ctx, queryTimeout)
+// query stores the answer of a peer and returns it. Continuing from a position that
+// came from another peer is harmless: the answer contains reports that are known
+// already or, once, no new ones.
+func (s *Sharer) query(ctx context.Context, peer Peer, query Query) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	query.Wait = queryWait
-	answer, err := peer.FetchReports(queryCtx, query)
+	answer, err := peer.FetchReports(ctx, query)
 	if err != nil {
 		s.config.Logger.Debug("fetching load reports from another node failed", "failure_domain", query.FailureDomain, "cause", err)
-		pause(ctx, retryDelay)
-		return 0
+		return Answer{}, err
 	}
 	s.apply(answer.Reports)
 	for domain, load := range answer.Demand {
 		s.config.Demand.ReceiveDomain(domain, load)
 	}
-	return answer.Position
+	return answer, nil
 }
 
 // apply stores reports on the board and passes the new ones to Config.OnReport.
