Stop no replicas for demand that is unknown or known for a moment only

The sum left out failure domains whose load had not arrived for two seconds, as if nothing ran there. And a new holder knew the need of one moment, where the old one kept the most of the last two boot times.

Now no order stops replicas while a failure domain that reported in the last 30 s does not; and the reclaimable replicas that a new holder finds count as a need of that moment, so that it keeps them for two boot times.

--- a/demand/demand.go
+++ b/demand/demand.go
@@ -16,6 +16,10 @@
 	// loadExpiry is how long a load received from another node or failure domain
 	// counts. Loads are sent several times a second, and some calls fail.
 	loadExpiry = 2 * time.Second
+	// domainLossTime is how long a failure domain whose load no longer arrives is taken
+	// to have load that is unknown. It covers a change of its reader and a restart of
+	// all its nodes.
+	domainLossTime = 30 * time.Second
 	// rateWindow is the time constant of the rates.
 	rateWindow = 3 * time.Second
 	// runningWindow is the time constant of the average of in-flight requests.
@@ -286,6 +290,20 @@
 	return sum[service]
 }
 
+// IsComplete reports whether the load of every failure domain that reported lately is
+// known. If it is not, Total is only a lower bound.
+func (d *Demand) IsComplete() bool {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.domains {
+		if age := now.Sub(r.measuredAt); age >= loadExpiry && age < domainLossTime {
+			return false
+		}
+	}
+	return true
+}
+
 // MeanPrompt returns the mean length of a service's prompts in tokens; zero
 // without recent arrivals.
 func (d *Demand) MeanPrompt(service string) float64 {
--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -101,3 +101,32 @@
 		check.True(d.Total("svc").Running > 60) // 39 with a window of three seconds
 	})
 }
+
+// TestLostReportsMakeTheLoadIncomplete guards against a sum over some failure domains that
+// passes for the load of all.
+func TestLostReportsMakeTheLoadIncomplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		d := demand.New("burnaby-a")
+		check.True(d.IsComplete())
+		for _, domain := range []string{"burnaby-a", "surrey-b"} {
+			d.ReceiveDomain(domain, demand.DomainLoad{
+				Loads: demand.Loads{
+					"svc": demand.Load{
+						Running: 20,
+					},
+				},
+			})
+		}
+		check.True(d.IsComplete())
+		time.Sleep(1500 * time.Millisecond)
+		d.ReceiveDomain("burnaby-a", demand.DomainLoad{})
+		check.True(d.IsComplete())
+		time.Sleep(time.Second)
+		d.ReceiveDomain("burnaby-a", demand.DomainLoad{})
+		check.True(!d.IsComplete())
+		time.Sleep(40 * time.Second)
+		d.ReceiveDomain("burnaby-a", demand.DomainLoad{})
+		check.True(d.IsComplete()) // its nodes are gone
+	})
+}
--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -259,8 +259,14 @@
 // known, the initial number is desired, since the operator or the previous lease
 // holder chose it. Beyond those, no on-demand replicas are bought before requests
 // arrive. canOrder reports whether on-demand orders are possible yet.
+//
+// A node that takes the lease while requests arrive knows the need of one moment only,
+// so the cheap replicas that it finds count as a need of that moment.
 func (t *tracker) recordNeed(state State, canOrder bool, now time.Time) {
 	t.isDemandKnown = t.isDemandKnown || sizedFraction(state.Load) >= minSizedFraction
+	if t.isDemandKnown && t.needs.IsEmpty() {
+		t.needs.Add(0, presentCount(state, zinniamast.Reclaimable), now)
+	}
 	if !t.isDemandKnown {
 		t.observe(state, canOrder, now)
 		required := 0
@@ -384,6 +390,9 @@
 	if !settled && (place.Market == zinniamast.OnDemand || count < s.Present[place]) {
 		return false
 	}
+	if !c.config.Demand.IsComplete() && count < s.Present[place] {
+		return false
+	}
 	last, ok := c.orders[key]
 	present := s.Present[place]
 	if !ok {
--- a/scaling/needs.go
+++ b/scaling/needs.go
@@ -24,6 +24,9 @@
 	recent []need
 }
 
+// IsEmpty reports whether no need is recorded.
+func (n *NeedHistory) IsEmpty() bool { return len(n.recent) == 0 }
+
 // Add records a need and removes those that have expired.
 func (n *NeedHistory) Add(required, desired int, now time.Time) {
 	retained := n.recent[:0]
