Let the next node follow the store when a failure domain's reader loses it

Cause: nodes whose reader had lost the store followed the store themselves, and wrote their own counts, all of a failure domain, for as long as it lasted.

Now a node calls the nodes that rank above it in turn, four at most and within the same 1.1 s, and the store only if none of them reaches it; likewise counts are offered to the next writers, which write what they have collected even while the first writer accepts their own.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -63,8 +63,8 @@
 	e.table = platform.NewTable(store)
 	e.follower = registry.NewFollower(registry.FollowerConfig{
 		Source: registry.NewRelayed(registry.RelayedConfig{
-			Store:  store,
-			Reader: e.storeReader,
+			Store:   store,
+			Readers: e.storeReaders,
 		}),
 		Routes:    e.routes,
 		Upstreams: e.board.Upstreams,
@@ -97,12 +97,12 @@
 func (e *Entry) buildDuties() error {
 	s := e.config.Settings
 	e.usage = usage.NewCounter(usage.CounterConfig{
-		Table:  e.table,
-		Clock:  e.clock,
-		Node:   s.Instance,
-		Window: s.Bounds.UsageWindow,
-		Writer: e.usageWriter,
-		Logger: e.config.Logger,
+		Table:   e.table,
+		Clock:   e.clock,
+		Node:    s.Instance,
+		Window:  s.Bounds.UsageWindow,
+		Writers: e.usageWriters,
+		Logger:  e.config.Logger,
 	})
 	e.lease = lease.New(lease.Config{
 		Table:  e.table,
--- a/entry/peerclient.go
+++ b/entry/peerclient.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"zinniamast/blackboard"
@@ -58,32 +60,51 @@
 	return c.entry.peerPool.Call(ctx, c.address, usageName+".Collect", counts, &struct{}{})
 }
 
-// reader returns the node that follows the store on behalf of this failure domain:
-// the live one of the highest rank. False means this node. Nodes with different
-// views of the membership may use different readers for a moment, which is safe.
-func (e *Entry) reader() (peerClient, bool) {
+// readers returns the live nodes of this failure domain that rank above this one, the
+// highest first. The first one follows the store on behalf of the others; if it is
+// empty, that is this node. Nodes with different views of the membership may use
+// different readers for a moment, which is safe.
+func (e *Entry) readers() []peerClient {
 	s := e.config.Settings
-	best, highest := blackboard.Member{}, roster.Rank(s.Instance)
+	own := roster.Rank(s.Instance)
+	var above []blackboard.Member
 	for _, member := range e.board.Members.All() {
-		if member.Dead || member.Leaving || member.ID == s.Instance || member.FailureDomain != s.FailureDomain {
+		if member.Dead || member.Leaving || member.Address == "" || member.FailureDomain != s.FailureDomain {
 			continue
 		}
-		if rank := roster.Rank(member.ID); rank > highest {
-			best, highest = member, rank
+		if roster.Rank(member.ID) > own {
+			above = append(above, member)
+		}
+	}
+	slices.SortFunc(above, func(a, b blackboard.Member) int {
+		return cmp.Compare(roster.Rank(b.ID), roster.Rank(a.ID))
+	})
+	clients := make([]peerClient, len(above))
+	for i, member := range above {
+		clients[i] = peerClient{
+			entry:   e,
+			address: member.Address,
 		}
 	}
-	return peerClient{
-		entry:   e,
-		address: best.Address,
-	}, best.Address != ""
+	return clients
 }
 
-// storeReader returns the reader as a registry.Peer; nil means this node.
-func (e *Entry) storeReader() registry.Peer {
-	if reader, ok := e.reader(); ok {
-		return reader
+// reader returns the first of the readers. False means this node.
+func (e *Entry) reader() (peerClient, bool) {
+	readers := e.readers()
+	if len(readers) == 0 {
+		return peerClient{}, false
 	}
-	return nil
+	return readers[0], true
+}
+
+// storeReaders returns the readers as registry.Peers.
+func (e *Entry) storeReaders() []registry.Peer {
+	var peers []registry.Peer
+	for _, reader := range e.readers() {
+		peers = append(peers, reader)
+	}
+	return peers
 }
 
 // reportReader returns the reader as a reports.Peer; nil means this node.
@@ -94,10 +115,11 @@
 	return nil
 }
 
-// usageWriter returns the reader as a usage.Collector; nil means this node.
-func (e *Entry) usageWriter() usage.Collector {
-	if reader, ok := e.reader(); ok {
-		return reader
+// usageWriters returns the readers as usage.Collectors.
+func (e *Entry) usageWriters() []usage.Collector {
+	var collectors []usage.Collector
+	for _, reader := range e.readers() {
+		collectors = append(collectors, reader)
 	}
-	return nil
+	return collectors
 }
--- a/registry/relayed.go
+++ b/registry/relayed.go
@@ -8,12 +8,14 @@
 
 const (
 	// relayWait is how long a peer waits for a change, and relayTimeout bounds the
-	// whole call to it: if the peer is suspended, this node must give up and call
-	// the store within the time in which a leaving replica has to be known.
+	// calls to all peers together: if one is suspended, this node must give up and
+	// call the store within the time in which a leaving replica has to be known.
 	relayWait    = 700 * time.Millisecond
 	relayTimeout = 1100 * time.Millisecond
-	// readerBackoff is how long the store is called directly after a peer has failed.
+	// readerBackoff is how long a peer is not called after it has failed.
 	readerBackoff = 3 * time.Second
+	// maxReaders bounds the peers that are called before the store.
+	maxReaders = 4
 )
 
 // Peer is another node that follows the store and answers on its behalf.
@@ -28,9 +30,9 @@
 type RelayedConfig struct {
 	// Store provides full lists, and changes if there is no reader.
 	Store Source
-	// Reader returns the node of this failure domain that follows the store on
-	// behalf of the others; nil if that is this node or none is known.
-	Reader func() Peer
+	// Readers returns the nodes of this failure domain that come before this one in
+	// following the store on behalf of the others, the first one first.
+	Readers func() []Peer
 }
 
 // Relayed is a Source for many nodes: one node of each failure domain, the reader,
@@ -38,7 +40,7 @@
 //
 // Each node that follows the store adds a call a second and one more transfer of
 // every change to the store's load. With readers the store serves only one node of
-// each failure domain.
+// each failure domain, or the next one that reaches it if the reader does not.
 type Relayed struct {
 	config RelayedConfig
 	// Each of the follower's two loops has its own state.
@@ -48,9 +50,8 @@
 
 // loopState holds the times that decide whether and when one loop calls the store.
 type loopState struct {
-	// readerBackoffUntil is the time until which the store is called instead of the
-	// reader.
-	readerBackoffUntil time.Time
+	// backoffUntil holds the time until which a peer is not called.
+	backoffUntil map[Peer]time.Time
 	// storeAnsweredAt is the end of the last call to the store.
 	storeAnsweredAt time.Time
 }
@@ -61,31 +62,51 @@
 func NewRelayed(config RelayedConfig) *Relayed {
 	return &Relayed{
 		config: config,
+		replicas: loopState{
+			backoffUntil: map[Peer]time.Time{},
+		},
+		configs: loopState{
+			backoffUntil: map[Peer]time.Time{},
+		},
 	}
 }
 
-// reader returns the peer to call, or nil if the store is to be called.
-func (r *Relayed) reader(l *loopState) Peer {
-	if time.Now().Before(l.readerBackoffUntil) {
-		return nil
-	}
-	return r.config.Reader()
-}
-
-// recordReaderFailure records a peer's failure. ErrHistoryDropped is not a failure
-// of the peer: it only lacks the history from the requested position.
-func (l *loopState) recordReaderFailure(err error) {
-	if !errors.Is(err, ErrHistoryDropped) {
-		l.readerBackoffUntil = time.Now().Add(readerBackoff)
+// callReaders calls one reader after another until one answers, and reports whether
+// one has. After ErrHistoryDropped the store is to be called: the reader works, but
+// lacks the history from the requested position.
+//
+// If a reader that has lost the store were followed by the store itself, all nodes of
+// its failure domain would call the store for as long as the reader cannot.
+func (r *Relayed) callReaders(ctx context.Context, l *loopState, call func(context.Context, Peer) error) bool {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	readers := r.config.Readers()
+	for _, reader := range readers[:min(len(readers), maxReaders)] {
+		if time.Now().Before(l.backoffUntil[reader]) {
+			continue
+		}
+		err := call(ctx, reader)
+		if err == nil {
+			delete(l.backoffUntil, reader)
+			return true
+		}
+		if errors.Is(err, ErrHistoryDropped) {
+			return false
+		}
+		l.backoffUntil[reader] = time.Now().Add(readerBackoff)
+		if ctx.Err() != nil {
+			return false
+		}
 	}
+	return false
 }
 
 // recordStoreAnswer records how a call to the store ended. While the store does not
-// answer this node, its reader is asked again at once: it may be the only source left.
+// answer this node, its readers are asked again at once: they may be the only source left.
 func (l *loopState) recordStoreAnswer(err error) {
 	l.storeAnsweredAt = time.Now()
 	if err != nil && !errors.Is(err, ErrHistoryDropped) {
-		l.readerBackoffUntil = time.Time{}
+		clear(l.backoffUntil)
 	}
 }
 
@@ -121,17 +142,13 @@
 
 // FollowReplicas implements Source.
 func (r *Relayed) FollowReplicas(ctx context.Context, position uint64, wait time.Duration) (ReplicaChanges, error) {
-	peer := r.reader(&r.replicas)
-	if peer == nil {
-		return r.storeReplicas(ctx, position, wait)
-	}
-	callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
-	changes, err := peer.ReplicasAfter(callCtx, position, min(wait, relayWait))
-	if err == nil {
+	var changes ReplicaChanges
+	if r.callReaders(ctx, &r.replicas, func(ctx context.Context, reader Peer) (err error) {
+		changes, err = reader.ReplicasAfter(ctx, position, min(wait, relayWait))
+		return err
+	}) {
 		return changes, nil
 	}
-	r.replicas.recordReaderFailure(err)
 	return r.storeReplicas(ctx, position, wait)
 }
 
@@ -144,17 +161,13 @@
 
 // FollowConfig implements Source.
 func (r *Relayed) FollowConfig(ctx context.Context, position uint64, wait time.Duration) (ConfigChange, error) {
-	peer := r.reader(&r.configs)
-	if peer == nil {
-		return r.storeConfig(ctx, position, wait)
-	}
-	callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
-	change, err := peer.ConfigAfter(callCtx, position, min(wait, relayWait))
-	if err == nil {
+	var change ConfigChange
+	if r.callReaders(ctx, &r.configs, func(ctx context.Context, reader Peer) (err error) {
+		change, err = reader.ConfigAfter(ctx, position, min(wait, relayWait))
+		return err
+	}) {
 		return change, nil
 	}
-	r.configs.recordReaderFailure(err)
 	return r.storeConfig(ctx, position, wait)
 }
 
--- a/registry/relayed_test.go
+++ b/registry/relayed_test.go
@@ -60,11 +60,11 @@
 	return s.FollowConfig(ctx, position, wait)
 }
 
-// newRelayed returns a source that calls the reader before the store.
-func newRelayed(store *fakeSource, reader registry.Peer) *registry.Relayed {
+// newRelayed returns a source that calls the readers before the store.
+func newRelayed(store *fakeSource, readers ...registry.Peer) *registry.Relayed {
 	return registry.NewRelayed(registry.RelayedConfig{
-		Store:  store,
-		Reader: func() registry.Peer { return reader },
+		Store:   store,
+		Readers: func() []registry.Peer { return readers },
 	})
 }
 
@@ -80,7 +80,7 @@
 	}
 	check.Equal(reader.calls.Load(), int64(3))
 	check.Equal(store.calls.Load(), int64(0))
-	_, err := newRelayed(store, nil).FollowConfig(context.Background(), 1, time.Second)
+	_, err := newRelayed(store).FollowConfig(context.Background(), 1, time.Second)
 	check.NoErr(err)
 	check.Equal(store.calls.Load(), int64(1))
 }
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -72,9 +72,10 @@
 	Node string
 	// Window is the length of a window.
 	Window time.Duration
-	// Writer returns the node that writes on behalf of this one. If it returns nil,
-	// this node writes its own counts and those that other nodes send to it.
-	Writer func() Collector
+	// Writers returns the nodes that come before this one in writing on behalf of the
+	// others, the first one first. Without any, or if none accepts its counts, this node
+	// writes its own counts and those that other nodes send to it.
+	Writers func() []Collector
 	// Logger receives failures; nil means slog's default.
 	Logger *slog.Logger
 }
@@ -122,8 +123,8 @@
 	if config.Logger == nil {
 		config.Logger = slog.Default()
 	}
-	if config.Writer == nil {
-		config.Writer = func() Collector { return nil }
+	if config.Writers == nil {
+		config.Writers = func() []Collector { return nil }
 	}
 	c := &Counter{
 		config:      config,
@@ -214,7 +215,7 @@
 // the counts.
 func (c *Counter) untilNextWrite() time.Duration {
 	wait := rand.N(writeDelay)
-	if c.config.Writer() == nil {
+	if len(c.config.Writers()) == 0 {
 		wait = collectDelay + rand.N(writeDelay)/3
 	}
 	now, ok := c.config.Clock.Now()
@@ -225,26 +226,49 @@
 	return writeInterval - since + wait
 }
 
-// deliver sends the counts to the writer, or writes them if there is none or the
-// call fails.
+// deliver sends the counts to the first writer that accepts them, or writes them if
+// there is none. Counts that other nodes have sent are written in any case.
 //
 // If each of 91 nodes wrote its own counts every five seconds, the fleet would
 // make 18 calls a second, a fifth of all calls to the store, and each node that
 // fails would lose five seconds of counts. One writer in each of four failure
 // domains makes four calls a second.
 func (c *Counter) deliver(ctx context.Context) {
-	writer := c.config.Writer()
 	now, ok := c.config.Clock.Now()
-	if writer == nil || !ok {
+	if !ok || !c.sendToWriter(ctx, now) || c.hasCollected() {
 		c.writeCounts(ctx, false)
-		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+}
+
+// maxWriters bounds the nodes to which counts are offered.
+const maxWriters = 4
+
+// sendToWriter sends the counts to a writer and reports whether one has accepted them.
+func (c *Counter) sendToWriter(ctx context.Context, now time.Time) bool {
+	writers := c.config.Writers()
+	if len(writers) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := writer.Collect(callCtx, c.snapshot(now, false)); err != nil {
-		c.config.Logger.Info("sending usage counts to the writer failed; writing them to the table", "cause", err)
-		c.writeCounts(ctx, false)
+	counts := c.snapshot(now, false)
+	for _, writer := range writers[:min(len(writers), maxWriters)] {
+		err := writer.Collect(ctx, counts)
+		if err == nil {
+			return true
+		}
+		c.config.Logger.Info("sending usage counts to a writer failed", "cause", err)
+		if ctx.Err() != nil {
+			return false
+		}
 	}
+	return false
+}
+
+func (c *Counter) hasCollected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.collected) > 0
 }
 
 // writeCounts writes this node's counts and those it has collected. The next
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -196,12 +196,12 @@
 		dead:    &dead,
 	})
 	c := usage.NewCounter(usage.CounterConfig{
-		Table:  f.table(),
-		Clock:  f.clock,
-		Node:   "node",
-		Window: window,
-		Writer: func() usage.Collector { return writer.Load().(remoteCollector) },
-		Logger: slog.New(slog.DiscardHandler),
+		Table:   f.table(),
+		Clock:   f.clock,
+		Node:    "node",
+		Window:  window,
+		Writers: func() []usage.Collector { return []usage.Collector{writer.Load().(remoteCollector)} },
+		Logger:  slog.New(slog.DiscardHandler),
 	})
 	kill := f.run(c.Run)
 	c.CountStarted("acme")
@@ -244,12 +244,12 @@
 		dead:    &atomic.Bool{},
 	}
 	c := usage.NewCounter(usage.CounterConfig{
-		Table:  f.table(),
-		Clock:  f.clock,
-		Node:   "node",
-		Window: window,
-		Writer: func() usage.Collector { return handed },
-		Logger: slog.New(slog.DiscardHandler),
+		Table:   f.table(),
+		Clock:   f.clock,
+		Node:    "node",
+		Window:  window,
+		Writers: func() []usage.Collector { return []usage.Collector{handed} },
+		Logger:  slog.New(slog.DiscardHandler),
 	})
 	f.run(c.Run)
 	c.CountStarted("acme")
@@ -327,3 +327,54 @@
 	f.clock.set(time.Unix(512, 0))
 	f.is.Equal(f.report(100).Report.Counts, map[string]int{"acme": 2})
 }
+
+// TestNextWriterTakesOver guards against a failure domain in which every node writes its
+// own counts as long as the writer has lost the store.
+func TestNextWriterTakesOver(t *testing.T) {
+	f := newFleet(t)
+	lost := usage.NewCounter(usage.CounterConfig{
+		Table:  platform.NewTable(platform.NewStore("127.0.0.1:1")),
+		Clock:  f.clock,
+		Node:   "writer",
+		Window: window,
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	f.run(lost.Run)
+	time.Sleep(1500 * time.Millisecond)
+	writers := []usage.Collector{
+		remoteCollector{
+			counter: lost,
+			dead:    &atomic.Bool{},
+		},
+	}
+	next := usage.NewCounter(usage.CounterConfig{
+		Table:   f.table(),
+		Clock:   f.clock,
+		Node:    "next",
+		Window:  window,
+		Writers: func() []usage.Collector { return writers },
+		Logger:  slog.New(slog.DiscardHandler),
+	})
+	f.run(next.Run)
+	behind := append(writers, remoteCollector{
+		counter: next,
+		dead:    &atomic.Bool{},
+	})
+	c := usage.NewCounter(usage.CounterConfig{
+		// The node cannot write to the table itself.
+		Table:   platform.NewTable(platform.NewStore("127.0.0.1:1")),
+		Clock:   f.clock,
+		Node:    "node",
+		Window:  window,
+		Writers: func() []usage.Collector { return behind },
+		Logger:  slog.New(slog.DiscardHandler),
+	})
+	f.run(c.Run)
+	c.CountStarted("acme")
+	next.CountStarted("acme")
+	time.Sleep(3500 * time.Millisecond)
+	lease, _ := f.reporter()
+	lease.set(1)
+	f.clock.set(time.Unix(512, 0))
+	f.is.Equal(f.report(100).Report.Counts, map[string]int{"acme": 2})
+}
