--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -102,8 +102,7 @@
 	})
 }
 
-// TestLostReportsMakeTheLoadIncomplete guards against a sum over some failure domains that
-// passes for the load of all.
+// TestLostReportsMakeTheLoadIncomplete guards against the load of some failure domains taken for that of all.
 func TestLostReportsMakeTheLoadIncomplete(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
--- a/limits/start_test.go
+++ b/limits/start_test.go
@@ -284,8 +284,7 @@
 	return 1_500
 }
 
-// TestMassStartRefusesNoAllowances guards against refusals of requests well within their
-// allowances while the nodes of a large fleet that lost power connect to each other.
+// TestMassStartRefusesNoAllowances guards against refusals within allowances after a loss of power.
 func TestMassStartRefusesNoAllowances(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
--- a/membership/spread_test.go
+++ b/membership/spread_test.go
@@ -94,8 +94,7 @@
 	return len(known)
 }
 
-// TestMassStartKnowsAllDomains guards against nodes of a large fleet that know nobody in
-// other failure domains for minutes after all have started at once.
+// TestMassStartKnowsAllDomains guards against nodes that know only their own domain for minutes.
 func TestMassStartKnowsAllDomains(t *testing.T) {
 	const domains = 6
 	synctest.Test(t, func(t *testing.T) {
--- a/processtest/link_test.go
+++ b/processtest/link_test.go
@@ -34,8 +34,7 @@
 	}
 }
 
-// TestLinkFaultsBesideLeavingReaders guards against a link that hangs when a fault
-// begins or ends while readers break off their connections.
+// TestLinkFaultsBesideLeavingReaders guards against a link that hangs as readers leave.
 func TestLinkFaultsBesideLeavingReaders(t *testing.T) {
 	target, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -84,8 +83,7 @@
 	readers.Wait()
 }
 
-// TestLinkFaults guards against a fault that lets responses pass, or that breaks
-// connections in another way than tests rely on.
+// TestLinkFaults guards against faults that let responses pass or break connections unasked.
 func TestLinkFaults(t *testing.T) {
 	is := is.New(t)
 	target, err := net.Listen("tcp", "127.0.0.1:0")
--- a/registry/readers_test.go
+++ b/registry/readers_test.go
@@ -14,8 +14,7 @@
 	"zinniamast/registry"
 )
 
-// TestNextReaderIsCalledBeforeStore guards against nodes that all call the store while
-// only the reader of their failure domain has lost it.
+// TestNextReaderIsCalledBeforeStore guards against a whole domain that calls the store for its reader.
 func TestNextReaderIsCalledBeforeStore(t *testing.T) {
 	check := is.New(t)
 	store, next := &fakeSource{}, &fakeSource{}
@@ -34,8 +33,7 @@
 	check.Equal(next.calls.Load(), int64(6))
 }
 
-// TestSuspendedReadersLeaveTimeForTheStore guards against a chain of readers that do not
-// answer, behind which a leaving replica becomes known too late.
+// TestSuspendedReadersLeaveTimeForTheStore guards against leaving replicas that become known too late.
 func TestSuspendedReadersLeaveTimeForTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		check := is.New(t)
@@ -185,8 +183,7 @@
 	return calls
 }
 
-// TestStoreCallsDoNotGrowWithTheDomain guards against calls to the store that grow with
-// the nodes of a failure domain while the store refuses some of them.
+// TestStoreCallsDoNotGrowWithTheDomain guards against calls for each node while the store refuses some.
 func TestStoreCallsDoNotGrowWithTheDomain(t *testing.T) {
 	check := is.New(t)
 	for cut := range 4 {
--- a/reports/reports_test.go
+++ b/reports/reports_test.go
@@ -229,8 +229,7 @@
 	})
 }
 
-// TestContactThatFailsIsReplaced guards against a failure domain whose load and reports
-// stay unknown elsewhere because the first contact there does not answer.
+// TestContactThatFailsIsReplaced guards against one dead contact that hides its whole domain.
 func TestContactThatFailsIsReplaced(t *testing.T) {
 	runDeployment(t, 4, func(check *is.I, d *deployment) {
 		d.nodes[1].dead.Store(true)
@@ -251,8 +250,7 @@
 	})
 }
 
-// TestContactWithoutNewsIsReplaced guards against asking a node again and again that
-// answers but knows nothing of its failure domain.
+// TestContactWithoutNewsIsReplaced guards against one ignorant contact that hides its whole domain.
 func TestContactWithoutNewsIsReplaced(t *testing.T) {
 	runDeployment(t, 4, func(check *is.I, d *deployment) {
 		d.nodes[1].blind.Store(true)
--- a/roster/contacts_test.go
+++ b/roster/contacts_test.go
@@ -11,8 +11,7 @@
 	"zinniamast/roster"
 )
 
-// TestContactsIncludeListedInstances guards against a failure domain without contacts
-// while gossip has not told of any of its members yet.
+// TestContactsIncludeListedInstances guards against domains without contacts before gossip arrives.
 func TestContactsIncludeListedInstances(t *testing.T) {
 	check := is.New(t)
 	listed := []zinniamast.Instance{
@@ -43,8 +42,7 @@
 	check.Equal(contacts[0], highest.Address) // the reader there, if it is alive
 }
 
-// TestContactsFollowTheMembers guards against contacts that are known to be dead, leave,
-// or listen at another address than listed.
+// TestContactsFollowTheMembers guards against contacts that are gone, leave, or have moved.
 func TestContactsFollowTheMembers(t *testing.T) {
 	check := is.New(t)
 	listed := []zinniamast.Instance{
--- a/scaling/takeover_test.go
+++ b/scaling/takeover_test.go
@@ -163,8 +163,7 @@
 	return max(0, float64(running-f.serving()*replicaSlots)) / float64(running)
 }
 
-// TestTakeoverBeforeCrowdKeepsTheFleet guards against a new lease holder that sizes the
-// fleet by the need of one moment and has stopped replicas when a crowd arrives.
+// TestTakeoverBeforeCrowdKeepsTheFleet guards against a fleet sized by one moment's need.
 func TestTakeoverBeforeCrowdKeepsTheFleet(t *testing.T) {
 	runLargeFleet(t, func(check *is.I, f *largeFleet) {
 		f.setRunning(150)
@@ -180,8 +179,7 @@
 	})
 }
 
-// TestTakeoverStopsSurplusReplicas guards against surplus replicas that stay for good
-// after a new node has taken the lease.
+// TestTakeoverStopsSurplusReplicas guards against surplus that stays after a takeover.
 func TestTakeoverStopsSurplusReplicas(t *testing.T) {
 	runLargeFleet(t, func(check *is.I, f *largeFleet) {
 		f.setRunning(150)
@@ -192,8 +190,7 @@
 	})
 }
 
-// TestUnknownLoadStopsNoReplicas guards against load that counts as zero because its
-// failure domain does not report it, while its requests go on.
+// TestUnknownLoadStopsNoReplicas guards against unknown load that counts as none.
 func TestUnknownLoadStopsNoReplicas(t *testing.T) {
 	runLargeFleet(t, func(check *is.I, f *largeFleet) {
 		f.lease.held.Store(true)
@@ -213,8 +210,7 @@
 	})
 }
 
-// TestLostDomainIsNotWaitedForForever guards against surplus replicas that stay because
-// a failure domain has been lost for good.
+// TestLostDomainIsNotWaitedForForever guards against surplus kept for a domain that is gone.
 func TestLostDomainIsNotWaitedForForever(t *testing.T) {
 	runLargeFleet(t, func(check *is.I, f *largeFleet) {
 		f.lease.held.Store(true)
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -328,8 +328,7 @@
 	f.is.Equal(f.report(100).Report.Counts, map[string]int{"acme": 2})
 }
 
-// TestNextWriterTakesOver guards against a failure domain in which every node writes its
-// own counts as long as the writer has lost the store.
+// TestNextWriterTakesOver guards against a whole domain that writes counts for its writer.
 func TestNextWriterTakesOver(t *testing.T) {
 	f := newFleet(t)
 	lost := usage.NewCounter(usage.CounterConfig{
