--- a/roster/contacts.go
+++ b/roster/contacts.go
@@ -18,8 +18,7 @@
 // members there, the highest rank first, without those that are dead or leaving.
 //
 // The members alone are not enough: they include only a few instances of other failure
-// domains, and after all instances of a large fleet have started at once, these become
-// known over minutes.
+// domains, and after a start none until gossip has told of them.
 func Contacts(failureDomain string, listed []zinniamast.Instance, members []blackboard.Member) []string {
 	addresses := map[string]string{}
 	for _, instance := range listed {
