Log whether a failed request was sent on a connection that was open before

Callers of instances that lost their links to the replicas waited for answers that never came.

The cause of an attempt that got no answer now says so, with the time that the connection was idle. It stands in the lines of failed sends and of refusals.

TestFailureOnReusedConnectionNamesIt fails before.

--- a/plain/client.go
+++ b/plain/client.go
@@ -108,7 +108,7 @@
 		guard.deadline = deadline
 	}
 	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { guard.gotConn(info.Conn) },
+		GotConn: guard.gotConn,
 	}
 	response, err := c.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
@@ -158,6 +158,7 @@
 // classifyUnanswered returns the error of an attempt that ended before the headers of
 // an answer arrived.
 func (c *Client) classifyUnanswered(ctx context.Context, guard *sendGuard, err error) error {
+	err = guard.describe(err)
 	canceled := errors.Is(ctx.Err(), context.Canceled) && !guard.replayed
 	if guard.nothingSent() && !canceled {
 		return c.upstreamError(zinniamast.FailureDial, err)
--- a/plain/client_test.go
+++ b/plain/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -215,3 +216,26 @@
 	c.(*net.TCPConn).CloseWrite()
 	io.Copy(io.Discard, c)
 }
+
+// Guards against a failure whose cause does not tell that its connection was open before the request.
+func TestFailureOnReusedConnectionNamesIt(t *testing.T) {
+	check := is.New(t)
+	replica := service.New(service.Config{})
+	server := httptest.NewServer(replica)
+	defer server.Close()
+	client := plain.New(plain.Config{
+		Upstream: "u",
+		Address:  server.URL,
+	})
+	defer client.Close()
+	_, err := client.Call(t.Context(), booking())
+	check.NoErr(err)
+	replica.SetFaults(service.Fault{
+		Kind: service.Hang,
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = client.Call(ctx, booking())
+	check.True(strings.Contains(err.Error(), "on a connection idle for"))
+	check.True(errors.Is(err, context.DeadlineExceeded))
+}
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,11 +100,15 @@
 	mu       sync.Mutex
 	current  *conn
 	replayed bool
+	// reused reports whether the current connection was open before the request, and idle
+	// is how long it was idle then.
+	reused bool
+	idle   time.Duration
 }
 
 // gotConn is called by net/http with each connection that it selects.
-func (g *sendGuard) gotConn(c net.Conn) {
-	next, ok := c.(*conn)
+func (g *sendGuard) gotConn(info httptrace.GotConnInfo) {
+	next, ok := info.Conn.(*conn)
 	if !ok {
 		return
 	}
@@ -117,6 +123,18 @@
 	}
 	next.prepare(g.deadline)
 	g.current = next
+	g.reused, g.idle = info.Reused, info.IdleTime
+}
+
+// describe adds to the error of a request whether it was sent on a reused connection. A
+// partition may leave those open and silent.
+func (g *sendGuard) describe(err error) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.current == nil || !g.reused {
+		return err
+	}
+	return fmt.Errorf("on a connection idle for %v before: %w", g.idle.Round(time.Millisecond), err)
 }
 
 // nothingSent reports whether no byte was written. If so, it seals the connection, so
