--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -74,6 +74,12 @@
 
 // launch runs an instance without waiting for it.
 func (f *fleet) launch(name string, seeds ...string) {
+	f.t.Helper()
+	f.launchWith(name, func(*platform.Settings) {}, seeds...)
+}
+
+// launchWith runs an instance with changed settings.
+func (f *fleet) launchWith(name string, change func(*platform.Settings), seeds ...string) {
 	f.t.Helper()
 	s := &platform.Settings{
 		Instance:      name,
@@ -95,6 +101,7 @@
 			UsageDue:    10 * time.Second,
 		},
 	}
+	change(s)
 	instance, err := entry.New(entry.Config{
 		Settings: s,
 		Logger:   slog.New(slog.DiscardHandler),
