Let nodes open authenticated connections for HTTP requests to each other

Calls over net/rpc carry whole messages; an answer that streams, and a cancellation that must arrive, need a connection of their own.

peer: a role for HTTP connections on the peer listener, with the same TLS and the same proof of the key, bounded apart from calls. plain: a dial function of the user's, whose connections are guarded as the others, and connections that carry one request.

--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -20,6 +20,8 @@
 	RolePeer Role = 1
 	// RoleOperator is an operator's command line.
 	RoleOperator Role = 2
+	// RoleRelay is another node of the fleet that sends HTTP requests instead of calls.
+	RoleRelay Role = 3
 )
 
 // The hello consists of magic, role and MAC, the answer of one byte and a MAC.
@@ -64,7 +66,7 @@
 	hello := Hello{
 		Role: Role(raw[len(magic)]),
 	}
-	if hello.Role != RolePeer && hello.Role != RoleOperator {
+	if hello.Role != RolePeer && hello.Role != RoleOperator && hello.Role != RoleRelay {
 		return Hello{}, fmt.Errorf("role %d is unknown", hello.Role)
 	}
 	copy(hello.MAC[:], raw[len(magic)+1:])
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -365,6 +365,54 @@
 	check.True(conn == nil)
 }
 
+// Guards against relayed requests from strangers, and against more relay connections than the server bears.
+func TestRelayConnectionsAreAuthenticatedAndBounded(t *testing.T) {
+	check := is.New(t)
+	server, _, _ := startServer(t, peer.ServerConfig{
+		PeerKeys:     []string{oldKey},
+		OperatorKeys: []string{operatorKey},
+		MaxConns:     1,
+	})
+	accepted := make(chan net.Conn, 3)
+	go func() {
+		for {
+			conn, err := server.RelayListener().Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	for _, key := range []string{unknownKey, operatorKey} {
+		stranger := newPool(t, peer.PoolConfig{
+			Keys: []string{key},
+		})
+		_, err := stranger.DialRelay(t.Context(), server.Address(), time.Second)
+		check.True(errors.Is(err, peer.ErrRefused))
+	}
+	p := newPool(t, peer.PoolConfig{
+		Keys: []string{oldKey},
+	})
+	first, err := p.DialRelay(t.Context(), server.Address(), time.Second)
+	check.NoErr(err)
+	defer first.Close()
+	atServer := <-accepted
+	second, err := p.DialRelay(t.Context(), server.Address(), time.Second)
+	check.NoErr(err)
+	defer second.Close()
+	_, err = second.Read(make([]byte, 1))
+	check.True(err != nil) // the server closes a connection beyond the bound
+	check.NoErr(atServer.Close())
+	third, err := p.DialRelay(t.Context(), server.Address(), time.Second)
+	check.NoErr(err)
+	defer third.Close()
+	go func() { _, _ = third.Write([]byte("x")) }()
+	got := make([]byte, 1)
+	_, err = (<-accepted).Read(got)
+	check.NoErr(err)
+	check.Equal(string(got), "x")
+}
+
 func FuzzDecodeHello(f *testing.F) {
 	f.Add(peer.Hello{Role: peer.RolePeer}.Encode())
 	f.Add(peer.Hello{Role: peer.RoleOperator}.Encode())
--- a/peer/server.go
+++ b/peer/server.go
@@ -44,7 +44,8 @@
 	// IdleTimeout is how long a connection may stay without input before it is
 	// closed; zero means 2 minutes.
 	IdleTimeout time.Duration
-	// MaxConns limits authenticated connections; zero means 1024.
+	// MaxConns limits authenticated connections, and separately those of RoleRelay; zero
+	// means 1024.
 	MaxConns int
 	// MaxHandshakes limits connections that have not authenticated yet; zero means 64.
 	MaxHandshakes int
@@ -65,6 +66,7 @@
 	// handshakes limits unauthenticated connections separately, so that they
 	// don't count against MaxConns.
 	handshakes chan struct{}
+	relays     *relayListener
 
 	mu      sync.Mutex
 	keys    map[Role][]string
@@ -97,6 +99,7 @@
 			Help: "Connections refused on the peer listener, by reason.",
 		}, []string{"reason"}),
 		handshakes: make(chan struct{}, config.MaxHandshakes),
+		relays:     newRelayListener(listener.Addr(), config.MaxConns),
 		conns:      map[*limitedConn]bool{},
 	}
 	s.SetKeys(config.PeerKeys, config.OperatorKeys)
@@ -128,12 +131,17 @@
 // Traffic returns the server's byte counters.
 func (s *Server) Traffic() *Traffic { return &s.traffic }
 
+// RelayListener returns the listener whose connections are those that peers opened with
+// Pool.DialRelay. Closing the server closes the listener, but not its connections.
+func (s *Server) RelayListener() net.Listener { return s.relays }
+
 // SetKeys replaces the accepted keys; existing connections stay open.
 func (s *Server) SetKeys(peerKeys, operatorKeys []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keys = map[Role][]string{
 		RolePeer:     peerKeys,
+		RoleRelay:    peerKeys,
 		RoleOperator: operatorKeys,
 	}
 }
@@ -211,6 +219,12 @@
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
+	if role == RoleRelay {
+		if !s.relays.deliver(tlsConn) {
+			s.refuse(conn, "too_many_relays", nil)
+		}
+		return
+	}
 	limited := newLimitedConn(tlsConn, s.config.MaxMessage, s.config.IdleTimeout, defaultStallTimeout)
 	if !s.track(limited) {
 		s.refuse(conn, "too_many_connections", nil)
@@ -249,6 +263,7 @@
 	}
 	s.mu.Unlock()
 	_ = s.listener.Close()
+	_ = s.relays.Close()
 	for _, conn := range conns {
 		conn.drain()
 	}
--- a/plain/client.go
+++ b/plain/client.go
@@ -34,6 +34,11 @@
 	Address string
 	// DialTimeout bounds the time to connect; zero means 2 s.
 	DialTimeout time.Duration
+	// Dial opens connections; nil means TCP connections that are reset when they are
+	// closed, without keep-alive probes.
+	Dial DialFunc
+	// DisableReuse closes each connection after one request.
+	DisableReuse bool
 	// IdleTimeout is how long an idle connection is kept for reuse. It should be
 	// shorter than the idle timeout of the service, so that a request is not sent on
 	// a connection that the service is closing. Zero means 15 s.
@@ -66,12 +71,16 @@
 	if config.MaxAnswer == 0 {
 		config.MaxAnswer = defaultMaxAnswer
 	}
+	if config.Dial == nil {
+		config.Dial = dialer(config.DialTimeout)
+	}
 	config.Address = strings.TrimSuffix(config.Address, "/")
 	return &Client{
 		config: config,
 		transport: &http.Transport{
-			DialContext:         dialer(config.DialTimeout),
+			DialContext:         guarded(config.Dial),
 			DisableCompression:  true,
+			DisableKeepAlives:   config.DisableReuse,
 			IdleConnTimeout:     config.IdleTimeout,
 			MaxIdleConnsPerHost: maxIdleConns,
 		},
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -64,26 +64,36 @@
 	return c.Conn.Write(p)
 }
 
-// dialer returns a dial function whose connections are of type *conn.
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// guarded returns a dial function whose connections are of type *conn.
+func guarded(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{
+			Conn: c,
+		}, nil
+	}
+}
+
+// dialer returns a function that opens TCP connections.
 //
 // TCP keep-alive probes are disabled. During a network partition they would make the
 // kernel close the connection of a waiting request, and this process could no longer
 // reset it: the request would reach the replica when the partition heals, seconds
 // after its caller received a failure. Without probes the deadline of the
 // request closes the connection, and the reset discards undelivered data.
-func dialer(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+func dialer(timeout time.Duration) DialFunc {
 	d := &net.Dialer{
 		Timeout:   timeout,
 		KeepAlive: -1,
 	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := httplimit.DialAbortive(ctx, d, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &conn{
-			Conn: c,
-		}, nil
+		return httplimit.DialAbortive(ctx, d, network, address)
 	}
 }
 
