Relay requests through other instances while the own paths to replicas are down

Cause: an instance offered its callers only its own paths. It knew the replicas and reached instances that reached them, and refused as no_upstream after two to four dial timeouts, or let requests wait on connections that were open and silent. The class: what one process cannot do is taken for what the fleet cannot do.

An instance notices by failed connections, and by probes when answers stay out, that its paths are down, and sends each request to its replica through a peer that says it can. Nothing was sent before, so a request that may not be repeated still runs once at most. Answers end with a mark, so that a lost peer is neither a whole answer nor a crashed replica. Sends that wait in vain and may be repeated move on without using up an attempt.

--- /dev/null
+++ b/egress/egress.go
@@ -0,0 +1,89 @@
+// Package egress sends requests to replicas over this instance's own paths or, while these
+// are down, through other instances.
+package egress
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+)
+
+// Config configures an Egress.
+type Config struct {
+	// FailureDomain is the failure domain of this instance.
+	FailureDomain string
+	// Upstreams are the replicas. Their clients are those that Replica returns.
+	Upstreams *blackboard.Upstreams
+	// Peers returns the other instances that are alive.
+	Peers func() []Peer
+	// Client sends requests to the peers' receivers. Each request's URL has the peer's
+	// address as its host.
+	Client zinniamast.Replica
+	// Probe opens a connection to a replica and closes it.
+	Probe func(ctx context.Context, upstream *blackboard.Upstream) error
+	// Closing reports whether this instance is stopping and relays no new requests; nil
+	// means never.
+	Closing func() bool
+	// RequestID returns the ID of a request, for the log; nil means that none has one.
+	RequestID func(header http.Header) string
+	// Logger logs paths that go down and requests that are relayed; nil means slog's
+	// default.
+	Logger *slog.Logger
+	// Registerer registers the metrics; nil leaves them unregistered.
+	Registerer prometheus.Registerer
+}
+
+// Peer is another instance.
+type Peer struct {
+	ID            string
+	FailureDomain string
+	// Address is host:port of its peer listener.
+	Address string
+}
+
+// Egress holds the state of this instance's paths to all replicas. It serves the requests
+// that other instances relay through this one: it implements http.Handler.
+type Egress struct {
+	config  Config
+	metrics *metrics
+	peers   peerChoice
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// New returns an egress all of whose paths are up.
+func New(config Config) *Egress {
+	if config.Logger == nil {
+		config.Logger = slog.Default()
+	}
+	if config.Closing == nil {
+		config.Closing = func() bool { return false }
+	}
+	if config.RequestID == nil {
+		config.RequestID = func(http.Header) string { return "" }
+	}
+	return &Egress{
+		config:  config,
+		metrics: newMetrics(config.Registerer),
+		links:   map[string]*link{},
+	}
+}
+
+// link returns the link to a service.
+func (e *Egress) link(service string) *link {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l := e.links[service]
+	if l == nil {
+		l = newLink(e, service)
+		e.links[service] = l
+	}
+	return l
+}
--- /dev/null
+++ b/egress/egress_test.go
@@ -0,0 +1,197 @@
+package egress_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+	"zinniamast/egress"
+	"zinniamast/plain"
+	"zinniamast/standin/replica"
+)
+
+// fixture is an instance whose path to its only replica is down, and a peer that reaches it.
+type fixture struct {
+	is      *is.I
+	replica *replica.Replica
+	// client sends requests to the replica from the instance.
+	client zinniamast.Replica
+	// peer is the server of the peer, and atPeer the peer's view of the replica.
+	peer   *httptest.Server
+	atPeer *blackboard.Upstream
+}
+
+// unreachable is a client whose connections fail.
+type unreachable struct{}
+
+// Send implements zinniamast.Replica.
+func (unreachable) Send(context.Context, *http.Request) (*http.Response, error) {
+	return nil, &zinniamast.UpstreamError{
+		Failure:  zinniamast.FailureDial,
+		Upstream: "i-1",
+		Cause:    errors.New("connection refused"),
+	}
+}
+
+// Close implements zinniamast.Replica.
+func (unreachable) Close() {}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{
+		is:      is.New(t),
+		replica: replica.New("i-1"),
+	}
+	t.Cleanup(f.replica.Close)
+	atPeer := blackboard.NewUpstreams()
+	peer := egress.New(egress.Config{
+		Upstreams: atPeer,
+		Probe:     func(context.Context, *blackboard.Upstream) error { return nil },
+		Logger:    slog.New(slog.DiscardHandler),
+	})
+	f.atPeer = f.upstream(peer.Replica("i-1", plain.New(plain.Config{
+		Upstream: "i-1",
+		Address:  "http://" + f.replica.Address(),
+	})))
+	atPeer.Add(f.atPeer)
+	f.peer = httptest.NewServer(peer)
+	t.Cleanup(f.peer.Close)
+
+	upstreams := blackboard.NewUpstreams()
+	instance := egress.New(egress.Config{
+		Upstreams: upstreams,
+		Peers: func() []egress.Peer {
+			return []egress.Peer{{
+				ID:      "edge-2",
+				Address: strings.TrimPrefix(f.peer.URL, "http://"),
+			}}
+		},
+		Client: plain.New(plain.Config{
+			Upstream:     "peer",
+			DisableReuse: true,
+		}),
+		Probe:  func(context.Context, *blackboard.Upstream) error { return errors.New("connection refused") },
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	f.client = instance.Replica("i-1", unreachable{})
+	upstreams.Add(f.upstream(f.client))
+	return f
+}
+
+func (f *fixture) upstream(client zinniamast.Replica) *blackboard.Upstream {
+	return &blackboard.Upstream{
+		Instance: zinniamast.Instance{
+			ID:      "i-1",
+			Service: "svc",
+			Address: f.replica.Address(),
+		},
+		Replica: client,
+	}
+}
+
+// send sends a request to the replica.
+func (f *fixture) send(ctx context.Context) (*http.Response, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.replica.Address()+"/say/x?y=%2F", strings.NewReader("body"))
+	f.is.NoErr(err)
+	request.Header.Set("Zinniamast-Expect-Instance", "i-1")
+	request.Header.Set("Zinniamast-Request-Id", "r-1")
+	return f.client.Send(ctx, request)
+}
+
+// Guards against a relayed request or answer that differs from a direct one.
+func TestRelayedRequestIsUnchanged(t *testing.T) {
+	f := newFixture(t)
+	response, err := f.send(t.Context())
+	f.is.NoErr(err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	f.is.NoErr(err)
+	f.is.Equal(string(body), "i-1 ran r-1")
+	f.is.Equal(response.Header.Get("Zinniamast-Server-Stamp"), "stamp-i-1")
+	run := f.replica.Runs()[0]
+	f.is.Equal(run.Method, http.MethodPost)
+	f.is.Equal(run.Target, "/say/x?y=%2F")
+	f.is.Equal(run.Body, "body")
+	for name := range run.Header {
+		f.is.True(!strings.HasPrefix(name, "Relay-"))
+	}
+	for name := range response.Header {
+		f.is.True(!strings.HasPrefix(name, "Relay-"))
+	}
+}
+
+// Guards against an answer that its replica broke off and that ends like a whole one behind a peer.
+func TestRelayedAnswerCutShortIsNotWhole(t *testing.T) {
+	f := newFixture(t)
+	f.replica.SetBehaviour(replica.Behaviour{
+		Events:     4,
+		BreakAfter: 2,
+	})
+	response, err := f.send(t.Context())
+	f.is.NoErr(err)
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	f.is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	f.is.True(!errors.Is(err, zinniamast.ErrRelayLost))
+}
+
+// Guards against blaming a replica for the loss of the peer that relayed its answer.
+func TestLostPeerIsToldFromLostReplica(t *testing.T) {
+	f := newFixture(t)
+	f.replica.SetBehaviour(replica.Behaviour{
+		Events: 100,
+		Gap:    20 * time.Millisecond,
+	})
+	response, err := f.send(t.Context())
+	f.is.NoErr(err)
+	defer response.Body.Close()
+	f.peer.CloseClientConnections()
+	_, err = io.ReadAll(response.Body)
+	f.is.True(errors.Is(err, zinniamast.ErrRelayLost))
+
+	f.replica.SetBehaviour(replica.Behaviour{
+		Hang: true,
+	})
+	time.AfterFunc(100*time.Millisecond, f.peer.CloseClientConnections)
+	_, err = f.send(t.Context())
+	f.is.Equal(zinniamast.AsUpstreamError(err).Failure, zinniamast.FailureRelay)
+	f.is.Equal(zinniamast.AsUpstreamError(err).Outcome().Ran, zinniamast.Unknown)
+}
+
+// Guards against a peer that sends a relayed request to a replica of which it knows that it leaves.
+func TestPeerRelaysNothingToLeavingReplica(t *testing.T) {
+	f := newFixture(t)
+	leaving := blackboard.NewUpstreams()
+	leaving.Add(f.atPeer)
+	f.is.True(leaving.MarkLeaving("i-1", time.Time{}))
+	_, err := f.send(t.Context())
+	f.is.Equal(zinniamast.AsUpstreamError(err).Failure, zinniamast.FailureDial)
+	f.is.Equal(len(f.replica.Runs()), 0)
+}
+
+// Guards against a replica that works on for a caller that has left the instance before the peer.
+func TestCancelledRequestIsCancelledBehindPeer(t *testing.T) {
+	f := newFixture(t)
+	f.replica.SetBehaviour(replica.Behaviour{
+		Hang: true,
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := f.send(ctx)
+	f.is.Equal(zinniamast.AsUpstreamError(err).Failure, zinniamast.FailureTimeout)
+	select {
+	case <-f.replica.Runs()[0].Disconnected:
+	case <-time.After(400 * time.Millisecond):
+		t.Error("the replica still works on the request")
+	}
+}
--- /dev/null
+++ b/egress/relay.go
@@ -0,0 +1,257 @@
+package egress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+)
+
+// The headers of relayed requests and their answers.
+const (
+	// headerReplica is the ID of the replica that gets the request.
+	headerReplica = "Relay-Replica"
+	// headerTimeout is the time in milliseconds after which the request is useless.
+	headerTimeout = "Relay-Timeout-Ms"
+	// headerOutcome says whether the replica answered, and trailerEnd, after the answer,
+	// whether that is whole.
+	headerOutcome = "Relay-Outcome"
+	trailerEnd    = "Relay-End"
+)
+
+// The outcomes of a relayed request other than a zinniamast.Failure.
+const (
+	outcomeAnswered = "answered"
+	// outcomeUnreachable means that the peer cannot reach the replica either, and outcomeUnfit
+	// that it relays no request to the service: its link is down as well, or it is stopping.
+	outcomeUnreachable = "unreachable"
+	outcomeUnfit       = "unfit"
+	// endWhole means that the answer ended as the replica ended it.
+	endWhole = "whole"
+)
+
+const (
+	// maxPeers and maxRelaySetup bound the search for a peer that takes a request.
+	maxPeers      = 6
+	maxRelaySetup = 300 * time.Millisecond
+	// unfitTime is how long a peer that did not take a request gets no similar one.
+	unfitTime = time.Second
+)
+
+// relay sends a request to a replica through a peer. It returns false if no peer took the
+// request; no byte of it has reached the replica then.
+func (e *Egress) relay(ctx context.Context, upstream *blackboard.Upstream, request *http.Request) (response *http.Response, err error, sent bool) {
+	start := time.Now()
+	for _, peer := range e.peers.choose(e.config.Peers(), upstream) {
+		var unfitFor string
+		response, err, unfitFor = e.sendThrough(ctx, peer, upstream, request)
+		if unfitFor == "" {
+			e.metrics.count(err)
+			e.logRelayed(request, upstream, peer, time.Since(start), err)
+			return response, err, true
+		}
+		e.peers.suspend(peer, unfitFor)
+		e.config.Logger.Debug("peer does not relay", "service", upstream.Instance.Service, "peer", peer.ID, "cause", err)
+		if ctx.Err() != nil || time.Since(start) > maxRelaySetup {
+			break
+		}
+	}
+	e.metrics.relayed.WithLabelValues(relayNoPeer).Inc()
+	return nil, nil, false
+}
+
+// logRelayed logs a relayed request and the error of its send. Requests without an ID are
+// this instance's own, such as those for load reports, and come several times a second.
+func (e *Egress) logRelayed(request *http.Request, upstream *blackboard.Upstream, peer Peer, took time.Duration, err error) {
+	id := e.config.RequestID(request.Header)
+	level := slog.LevelInfo
+	if id == "" {
+		level = slog.LevelDebug
+	}
+	e.config.Logger.Log(context.Background(), level, "request relayed", "request", id, "replica", upstream.Instance.ID, "peer", peer.ID,
+		"took", took.Round(time.Millisecond), "cause", err)
+}
+
+// sendThrough sends a request through one peer. If the peer did not take it, unfitFor is the
+// service or the replica that the peer cannot reach.
+func (e *Egress) sendThrough(ctx context.Context, peer Peer, upstream *blackboard.Upstream, request *http.Request) (_ *http.Response, err error, unfitFor string) {
+	service := upstream.Instance.Service
+	relayed, err := relayedRequest(ctx, peer, upstream, request)
+	if err != nil {
+		return nil, err, service
+	}
+	response, err := e.config.Client.Send(ctx, relayed)
+	if err != nil {
+		failure := zinniamast.AsUpstreamError(err)
+		if failure.Failure == zinniamast.FailureDial {
+			return nil, err, service
+		}
+		return nil, peerFailure(upstream, failure), ""
+	}
+	outcome := response.Header.Get(headerOutcome)
+	switch outcome {
+	case outcomeAnswered:
+		response.Header.Del(headerOutcome)
+		if hasBody(request.Method, response.StatusCode) {
+			response.Body = &relayedBody{
+				response: response,
+				body:     response.Body,
+			}
+		}
+		return response, nil, ""
+	case outcomeUnreachable:
+		unfitFor = upstream.Instance.ID
+	case outcomeUnfit:
+		unfitFor = service
+	}
+	message, _ := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	_ = response.Body.Close()
+	failure := zinniamast.Failure(outcome)
+	if _, ok := zinniamast.FailureOutcomes[failure]; !ok {
+		failure = zinniamast.FailureRelay
+	}
+	return nil, &zinniamast.UpstreamError{
+		Failure:  failure,
+		Upstream: upstream.Instance.ID,
+		Cause:    fmt.Errorf("egress: through %s: %s", peer.ID, message),
+	}, unfitFor
+}
+
+// maxMessageBytes bounds the text that a peer sends with a failure.
+const maxMessageBytes = 1 << 10
+
+// relayedRequest returns a copy of a request that is sent to a peer.
+func relayedRequest(ctx context.Context, peer Peer, upstream *blackboard.Upstream, request *http.Request) (*http.Request, error) {
+	relayed := request.Clone(ctx)
+	if request.GetBody != nil {
+		body, err := request.GetBody()
+		if err != nil {
+			return nil, err
+		}
+		relayed.Body = body
+	}
+	relayed.URL.Host = peer.Address
+	relayed.Header.Set(headerReplica, upstream.Instance.ID)
+	relayed.Header.Del(headerTimeout)
+	if deadline, ok := ctx.Deadline(); ok {
+		relayed.Header.Set(headerTimeout, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+	}
+	return relayed, nil
+}
+
+// peerFailure returns the error of a request whose peer took it and did not answer.
+func peerFailure(upstream *blackboard.Upstream, failure *zinniamast.UpstreamError) *zinniamast.UpstreamError {
+	kind := failure.Failure
+	if kind != zinniamast.FailureTimeout && kind != zinniamast.FailureStopped {
+		kind = zinniamast.FailureRelay
+	}
+	return &zinniamast.UpstreamError{
+		Failure:  kind,
+		Upstream: upstream.Instance.ID,
+		Cause:    failure.Cause,
+	}
+}
+
+// hasBody reports whether an answer may have a body.
+func hasBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// relayedBody is the body of a relayed answer. It is whole only if the peer says so: the
+// end of the peer's own answer would otherwise hide that the replica broke off.
+type relayedBody struct {
+	response *http.Response
+	body     io.ReadCloser
+}
+
+// Close implements io.Closer.
+func (b *relayedBody) Close() error { return b.body.Close() }
+
+// Read implements io.Reader.
+func (b *relayedBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	switch end := b.response.Trailer.Get(trailerEnd); {
+	case err == io.EOF && end == endWhole:
+		return n, io.EOF
+	case err == io.EOF && end == string(zinniamast.FailureCutShort):
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, fmt.Errorf("%w: %w", zinniamast.ErrRelayLost, err)
+}
+
+// peerChoice chooses the peers that requests are relayed through.
+type peerChoice struct {
+	mu sync.Mutex
+	// unfitUntil holds the peers that did not take a request.
+	unfitUntil map[unfitKey]time.Time
+}
+
+// unfitKey is a peer and the service or the replica that it cannot reach.
+type unfitKey struct {
+	peer   string
+	target string
+}
+
+// choose returns the peers to ask for a request to a replica, the first one first. Those in
+// the replica's failure domain are preferred: no byte crosses between failure domains twice.
+func (c *peerChoice) choose(peers []Peer, upstream *blackboard.Upstream) []Peer {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var fit []Peer
+	for _, peer := range peers {
+		if !c.isUnfit(peer, upstream.Instance.Service, now) && !c.isUnfit(peer, upstream.Instance.ID, now) {
+			fit = append(fit, peer)
+		}
+	}
+	rand.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
+	slices.SortStableFunc(fit, func(a, b Peer) int { return distance(a, upstream) - distance(b, upstream) })
+	return fit[:min(len(fit), maxPeers)]
+}
+
+// isUnfit reports whether a peer cannot reach a service or a replica. The caller holds the
+// lock.
+func (c *peerChoice) isUnfit(peer Peer, target string, now time.Time) bool {
+	key := unfitKey{
+		peer:   peer.ID,
+		target: target,
+	}
+	until, ok := c.unfitUntil[key]
+	if ok && now.Before(until) {
+		return true
+	}
+	delete(c.unfitUntil, key)
+	return false
+}
+
+func distance(peer Peer, upstream *blackboard.Upstream) int {
+	if peer.FailureDomain == upstream.Instance.FailureDomain {
+		return 0
+	}
+	return 1
+}
+
+// suspend excludes a peer from relaying to a service or a replica for a while.
+func (c *peerChoice) suspend(peer Peer, target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unfitUntil == nil {
+		c.unfitUntil = map[unfitKey]time.Time{}
+	}
+	c.unfitUntil[unfitKey{
+		peer:   peer.ID,
+		target: target,
+	}] = time.Now().Add(unfitTime)
+}
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -37,6 +37,7 @@
 
 // assemble builds the controllers, the router and the servers.
 func (e *Entry) assemble() error {
+	e.buildEgress()
 	e.buildFollower()
 	e.buildAllowance()
 	if err := e.openPeers(); err != nil {
@@ -69,7 +70,7 @@
 		}),
 		Routes:    e.routes,
 		Upstreams: e.board.Upstreams,
-		Build:     newReplica,
+		Build:     e.newReplica,
 		Logger:    e.config.Logger,
 	})
 	e.roster = roster.New(roster.Config{
@@ -84,13 +85,13 @@
 }
 
 // newReplica returns a client for a replica.
-func newReplica(id, address string) zinniamast.Replica {
-	return plain.New(plain.Config{
+func (e *Entry) newReplica(id, address string) zinniamast.Replica {
+	return e.egress.Replica(id, plain.New(plain.Config{
 		Upstream:    id,
 		Address:     "http://" + address,
 		DialTimeout: replicaDialTimeout,
 		IdleTimeout: replicaIdleTimeout,
-	})
+	}))
 }
 
 // buildDuties builds the usage counter of this node, and the lease and the
@@ -247,6 +248,13 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(e.config.Logger.Handler(), slog.LevelDebug),
 	}
+	e.relayServer = &http.Server{
+		Handler:           e.egress,
+		BaseContext:       func(net.Listener) context.Context { return serving },
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(e.config.Logger.Handler(), slog.LevelDebug),
+	}
 	e.readyServer = &http.Server{
 		Handler:           e.readiness(),
 		ReadHeaderTimeout: headerTimeout,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -21,6 +22,7 @@
 	"zinniamast/blackboard"
 	"zinniamast/clock"
 	"zinniamast/demand"
+	"zinniamast/egress"
 	"zinniamast/forward"
 	"zinniamast/lease"
 	"zinniamast/limits"
@@ -119,7 +121,10 @@
 	reporter     *usage.Reporter
 	scaling      *scaling.Controller
 	registry     *prometheus.Registry
+	egress       *egress.Egress
 	callerServer *http.Server
+	// relayServer serves the requests that other instances relay through this one.
+	relayServer *http.Server
 	// cancelRequests cancels the requests that are still running.
 	cancelRequests context.CancelCauseFunc
 	readyServer    *http.Server
@@ -183,8 +188,9 @@
 	}
 	dutiesCtx, endDuties := context.WithCancel(runCtx)
 	controllers.Go(func() { e.runDuties(dutiesCtx) })
-	failed := make(chan error, len(e.listeners)+1)
+	failed := make(chan error, len(e.listeners)+2)
 	go func() { failed <- e.peerServer.Serve() }()
+	go func() { failed <- e.relayServer.Serve(e.peerServer.RelayListener()) }()
 	go func() { failed <- e.callerServer.Serve(e.listeners[0]) }()
 	for _, listener := range e.listeners[1:] {
 		go func() { failed <- e.readyServer.Serve(listener) }()
@@ -272,7 +278,7 @@
 	case <-ctx.Done():
 	}
 	e.closing.Store(true)
-	if err := e.callerServer.Shutdown(ctx); err != nil {
+	if err := e.shutDownServers(ctx); err != nil {
 		e.config.Logger.Warn("stop timeout reached; aborting running requests", "cause", err)
 		e.abortRequests()
 	}
@@ -292,11 +298,18 @@
 	e.cancelRequests(forward.ErrStopping)
 	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancel()
-	if err := e.callerServer.Shutdown(ctx); err != nil {
+	if err := e.shutDownServers(ctx); err != nil {
 		e.config.Logger.Warn("some callers were not notified that their requests were aborted", "cause", err)
 	}
 }
 
+// shutDownServers waits until the requests of callers and of other instances have ended.
+func (e *Entry) shutDownServers(ctx context.Context) error {
+	relays := make(chan error, 1)
+	go func() { relays <- e.relayServer.Shutdown(ctx) }()
+	return errors.Join(e.callerServer.Shutdown(ctx), <-relays)
+}
+
 // stopLinger is how long a stopping node still accepts requests. The load balancer
 // checks readiness every second and removes a node after two failed checks, and an
 // accepted request must end within the rest of the stop timeout.
--- a/failure.go
+++ b/failure.go
@@ -28,6 +28,11 @@
 	FailureInvalid Failure = "invalid"
 	// FailureStopped means that this node stopped the attempt.
 	FailureStopped Failure = "stopped"
+	// FailurePath means that this node stopped the attempt because the upstream had become
+	// unreachable from it.
+	FailurePath Failure = "path"
+	// FailureRelay means that the node that relayed the attempt was lost during it.
+	FailureRelay Failure = "relay"
 )
 
 // FailureOutcome describes what can be concluded from a failure.
@@ -53,8 +58,14 @@
 	FailureWrongAttempt: {Ran: Unknown, BlamesReplica: true, MayHaveCrashed: false},
 	FailureError:        {Ran: DidRun, BlamesReplica: true, MayHaveCrashed: false},
 	FailureStopped:      {Ran: Unknown, BlamesReplica: false, MayHaveCrashed: false},
+	FailurePath:         {Ran: Unknown, BlamesReplica: false, MayHaveCrashed: false},
+	FailureRelay:        {Ran: Unknown, BlamesReplica: false, MayHaveCrashed: false},
 }
 
+// ErrRelayLost is the error of an answer that ended early because the node that relayed it
+// was lost.
+var ErrRelayLost = errors.New("the relaying node was lost")
+
 // UpstreamError is the error that clients of upstreams return.
 type UpstreamError struct {
 	// Failure is the way in which the attempt ended.
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -110,7 +110,7 @@
 		return upstreamError(s.upstream, zinniamast.FailureStopped, err)
 	}
 	if _, err := io.Copy(a.writer, s.response.Body); err != nil {
-		return upstreamError(s.upstream, zinniamast.FailureCutShort, err)
+		return upstreamError(s.upstream, readFailure(err), err)
 	}
 	return nil
 }
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -20,6 +20,7 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/egress"
 	"zinniamast/forward"
 	"zinniamast/platform"
 	"zinniamast/quarantine"
@@ -62,6 +63,8 @@
 	// those at which it reached one.
 	crashes  map[string][]time.Duration
 	arrivals map[string][]time.Duration
+	// runs counts how often each request that must not be repeated reached a replica.
+	runs map[string]int
 	// refused counts the other requests that were held back, and served those with a
 	// whole answer.
 	refused, served, sent int
@@ -76,6 +79,8 @@
 	contents []string
 	// newRouter returns a node's router; nil means that of the package routing.
 	newRouter func(board *blackboard.Board, failureDomain string) zinniamast.Router
+	// hasPaths gives each node paths to the replicas that can be cut.
+	hasPaths bool
 }
 
 // fleetNode is one node of a fleet. It implements zinniamast.Gossip.
@@ -85,6 +90,13 @@
 	board       *blackboard.Board
 	throttle    *throttle.Throttle
 	subscribers map[zinniamast.Topic][]func(zinniamast.GossipItem)
+
+	// The fields below are set if the nodes have paths.
+	name, domain string
+	paths        *paths
+	egress       *egress.Egress
+	relays       *pipeListener
+	server       *http.Server
 }
 
 // Publish implements zinniamast.Gossip.
@@ -117,6 +129,7 @@
 		random:   rand.New(rand.NewPCG(config.seed, config.seed)),
 		crashes:  map[string][]time.Duration{},
 		arrivals: map[string][]time.Duration{},
+		runs:     map[string]int{},
 	}
 	routes := configuration()
 	for i := range routes.Routes {
@@ -145,6 +158,9 @@
 		board:       blackboard.New(),
 		subscribers: map[zinniamast.Topic][]func(zinniamast.GossipItem){},
 	}
+	if f.config.hasPaths {
+		n.addEgress(name, domain, logger)
+	}
 	n.throttle = throttle.New(throttle.Config{
 		Upstreams: n.board.Upstreams,
 		IsOwner:   func(_, replicaDomain string) bool { return replicaDomain == domain && i < fleetDomains },
@@ -179,6 +195,13 @@
 	f.nodes = append(f.nodes, n)
 }
 
+// closeServers closes the nodes' servers for each other's requests.
+func (f *fleet) closeServers() {
+	for _, n := range f.nodes {
+		_ = n.server.Close()
+	}
+}
+
 // newRouter returns the router of a node.
 func (f *fleet) newRouter(board *blackboard.Board, i int) zinniamast.Router {
 	domain := fmt.Sprint("domain-", i%fleetDomains)
@@ -239,7 +262,7 @@
 				Address:       "replica.example",
 				Started:       time.Now(),
 			},
-			Replica: r,
+			Replica: n.newClient(r),
 			Slots:   f.config.slots,
 		})
 	}
--- a/forward/run.go
+++ b/forward/run.go
@@ -162,14 +162,18 @@
 		c.ran = zinniamast.DidRun
 		return
 	}
-	if failure.Failure != zinniamast.FailureDial {
+	// A send to a replica that has become unreachable does not use up an attempt.
+	wasReachable := failure.Failure != zinniamast.FailureDial && failure.Failure != zinniamast.FailurePath
+	if wasReachable {
 		c.arrivals++
 	}
 	outcome := failure.Outcome()
 	if outcome.Ran == zinniamast.NotRun {
 		return
 	}
-	c.sends++
+	if wasReachable {
+		c.sends++
+	}
 	if c.ran != zinniamast.DidRun {
 		c.ran = outcome.Ran
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -252,7 +252,11 @@
 	if err != nil {
 		return upstreamError(s.upstream, zinniamast.FailureInvalid, err)
 	}
-	s.response, err = s.upstream.Replica.Send(s.ctx, request)
+	ctx := s.ctx
+	if c.route.Repeatable() {
+		ctx = zinniamast.WithRepeatable(ctx)
+	}
+	s.response, err = s.upstream.Replica.Send(ctx, request)
 	if err != nil {
 		return zinniamast.AsUpstreamError(err)
 	}
@@ -301,7 +305,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(s.response.Body, maxBufferedBytes))
 	if err != nil {
-		return upstreamError(s.upstream, zinniamast.FailureCutShort, err)
+		return upstreamError(s.upstream, readFailure(err), err)
 	}
 	s.plain = &answer{
 		status: s.response.StatusCode,
@@ -325,7 +329,15 @@
 
 // streamFailure returns the failure of a stream that ended before it was complete.
 func (s *send) streamFailure() *zinniamast.UpstreamError {
-	return upstreamError(s.upstream, zinniamast.FailureCutShort, fmt.Errorf("forward: stream ended after %d bytes of an incomplete event: %w", s.stream.filled-s.stream.taken, s.stream.err))
+	return upstreamError(s.upstream, readFailure(s.stream.err), fmt.Errorf("forward: stream ended after %d bytes of an incomplete event: %w", s.stream.filled-s.stream.taken, s.stream.err))
+}
+
+// readFailure returns the failure of an answer that ended early with an error.
+func readFailure(err error) zinniamast.Failure {
+	if errors.Is(err, zinniamast.ErrRelayLost) {
+		return zinniamast.FailureRelay
+	}
+	return zinniamast.FailureCutShort
 }
 
 // newRequest builds the request for a replica: the caller's method, path and body
--- a/replica.go
+++ b/replica.go
@@ -14,3 +14,14 @@
 	// Close closes idle connections.
 	Close()
 }
+
+type repeatableKey struct{}
+
+// WithRepeatable marks the context of a send whose request may be sent again although it may
+// have run. Such a send may be ended early if its answer cannot arrive.
+func WithRepeatable(ctx context.Context) context.Context {
+	return context.WithValue(ctx, repeatableKey{}, true)
+}
+
+// IsRepeatable reports whether a context was marked by WithRepeatable.
+func IsRepeatable(ctx context.Context) bool { return ctx.Value(repeatableKey{}) != nil }
