--- a/forward/partition_test.go
+++ b/forward/partition_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -80,11 +81,11 @@
 	return true
 }
 
-// connect establishes a connection.
-func (p *paths) connect(ctx context.Context) error {
+// connect establishes a connection to a replica.
+func (p *paths) connect(ctx context.Context, r *fragile) error {
 	kind, _ := p.state()
 	wait, err := connectTime, error(nil)
-	if kind != notCut {
+	if kind != notCut || r.hasCrashed() {
 		err = errors.New("connection refused")
 	}
 	if kind == cutSilent {
@@ -98,6 +99,22 @@
 	}
 }
 
+// hasCrashed reports whether the replica is down.
+func (r *fragile) hasCrashed() bool {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	return r.isDown
+}
+
+// probe tries to connect to a replica.
+func (p *paths) probe(ctx context.Context, upstream *blackboard.Upstream) error {
+	p.fleet.mu.Lock()
+	i := slices.IndexFunc(p.fleet.replicas, func(r *fragile) bool { return r.id == upstream.Instance.ID })
+	r := p.fleet.replicas[i]
+	p.fleet.mu.Unlock()
+	return p.connect(ctx, r)
+}
+
 // awaitOpen waits while an established connection is silent. It returns an error if the
 // connection is reset.
 func (p *paths) awaitOpen(ctx context.Context) error {
@@ -141,7 +158,7 @@
 // Send implements zinniamast.Replica.
 func (r *pathTo) Send(ctx context.Context, request *http.Request) (*http.Response, error) {
 	if !r.paths.takeIdle(r.replica.id) {
-		if err := r.paths.connect(ctx); err != nil {
+		if err := r.paths.connect(ctx, r.replica); err != nil {
 			return nil, r.failure(zinniamast.FailureDial, err)
 		}
 	}
@@ -265,7 +282,7 @@
 			},
 			DisableReuse: true,
 		}),
-		Probe:  func(ctx context.Context, _ *blackboard.Upstream) error { return n.paths.connect(ctx) },
+		Probe:  n.paths.probe,
 		Logger: logger,
 	})
 	n.server = &http.Server{
@@ -390,3 +407,32 @@
 		}
 	}
 }
+
+// Guards against nodes whose own paths are reset and that report the replicas as crashed under the requests running there.
+func TestNodesWithoutReplicasReportNoCrashes(t *testing.T) {
+	const cuts, cutTime, period = 6, 4 * time.Second, 6 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, fleetConfig{
+			seed:     1,
+			slots:    64,
+			hasPaths: true,
+		})
+		defer f.closeServers()
+		for i := range cuts {
+			for _, n := range []*fleetNode{f.nodes[i%fleetNodes], f.nodes[(i+1)%fleetNodes]} {
+				begin := period * time.Duration(i+1)
+				time.AfterFunc(begin, func() { n.paths.cut(cutReset) })
+				time.AfterFunc(begin+cutTime, func() { n.paths.cut(notCut) })
+			}
+		}
+		var done sync.WaitGroup
+		f.callers(&done, 60, period*(cuts+1))
+		done.Wait()
+		reported, suspected := len(f.log.linesWith("replica crashed")), len(f.log.linesWith("suspect request admitted"))
+		t.Logf("%d crashes reported and %d requests suspected although no replica crashed; %d of %d requests served", reported, suspected, f.served, f.sent)
+		f.is.Equal(reported, 0)
+		f.is.Equal(suspected, 0)
+		f.is.Equal(f.refused, 0)
+		f.is.Equal(f.served, f.sent)
+	})
+}
