Ask a peer before a broken connection counts as a crash of its replica

Change: where a connection breaks and the instance cannot connect to the replica any more, a peer tries. If that can, the failure is the path's and nothing is reported; if not, or without peers, it counts as a crash as before.

--- a/egress/receiver.go
+++ b/egress/receiver.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -40,6 +41,10 @@
 	}
 	replica, ok := upstream.Replica.(*Replica)
 	l := e.link(upstream.Instance.Service)
+	if ok && r.Header.Get(headerProbe) != "" {
+		writeOutcome(w, replica.probeForPeer(r.Context(), l, upstream), "")
+		return
+	}
 	if !ok || l.checkDown() && replica.silentFor() > heardLately {
 		writeOutcome(w, outcomeUnfit, "the link to the service is down here as well")
 		return
@@ -150,11 +155,18 @@
 	header.Set(headerOutcome, outcomeAnswered)
 	header.Set("Trailer", trailerEnd)
 	w.WriteHeader(response.StatusCode)
-	end := endWhole
-	if err := copyFlushing(w, response.Body); err != nil {
-		end = string(zinniamast.FailureCutShort)
-	}
-	header.Set(trailerEnd, end)
+	header.Set(trailerEnd, endOf(copyFlushing(w, response.Body)))
+}
+
+// endOf returns how an answer ended, from the error of its body.
+func endOf(err error) string {
+	switch {
+	case err == nil:
+		return endWhole
+	case errors.Is(err, zinniamast.ErrPathLost):
+		return string(zinniamast.FailurePath)
+	}
+	return string(zinniamast.FailureCutShort)
 }
 
 // copyFlushing copies a body to the peer piece by piece. It returns the error of the body;
--- a/egress/relay.go
+++ b/egress/relay.go
@@ -20,6 +20,8 @@
 const (
 	// headerReplica is the ID of the replica that gets the request.
 	headerReplica = "Relay-Replica"
+	// headerProbe asks the peer only to connect to the replica.
+	headerProbe = "Relay-Probe"
 	// headerTimeout is the time in milliseconds after which the request is useless.
 	headerTimeout = "Relay-Timeout-Ms"
 	// headerOutcome says whether the replica answered, and trailerEnd, after the answer,
@@ -187,6 +189,8 @@
 		return n, io.EOF
 	case err == io.EOF && end == string(zinniamast.FailureCutShort):
 		return n, io.ErrUnexpectedEOF
+	case err == io.EOF && end == string(zinniamast.FailurePath):
+		return n, zinniamast.ErrPathLost
 	}
 	return n, fmt.Errorf("%w: %w", zinniamast.ErrRelayLost, err)
 }
--- a/egress/replica.go
+++ b/egress/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -32,6 +33,8 @@
 	isDown    bool
 	isProbing bool
 	probedAt  time.Time
+	// diagnosis is the one in progress, or the last one.
+	diagnosis *diagnosis
 	// heardAt is when data of the replica last arrived.
 	heardAt time.Time
 }
@@ -118,26 +121,31 @@
 		if isDialFailure(err) && (ctx.Err() == nil || time.Since(start) >= probeTimeout) {
 			r.recordFailure(l)
 		}
-		return nil, r.pathFailure(ctx, err)
+		return nil, r.pathFailure(ctx, l, upstream, err)
 	}
 	r.recordAnswer(l)
 	response.Body = &watchedBody{
 		ReadCloser: response.Body,
+		ctx:        ctx,
 		replica:    r,
 		link:       l,
+		upstream:   upstream,
 	}
 	return response, nil
 }
 
-// pathFailure returns the error of a send, which differs if the send was abandoned.
-func (r *Replica) pathFailure(ctx context.Context, err error) error {
-	if !errors.Is(context.Cause(ctx), errPathDown) || isDialFailure(err) {
+// pathFailure returns the error of a send, which differs if this instance's path was at fault.
+func (r *Replica) pathFailure(ctx context.Context, l *link, upstream *blackboard.Upstream, err error) error {
+	failure := zinniamast.AsUpstreamError(err)
+	isAbandoned := errors.Is(context.Cause(ctx), errPathDown) && !isDialFailure(err)
+	isReset := failure != nil && failure.Failure == zinniamast.FailureReset && ctx.Err() == nil
+	if !isAbandoned && !(isReset && r.isPathAtFault(l, upstream)) {
 		return err
 	}
 	return &zinniamast.UpstreamError{
 		Failure:  zinniamast.FailurePath,
 		Upstream: r.id,
-		Cause:    errPathDown,
+		Cause:    fmt.Errorf("%w: %w", zinniamast.ErrPathLost, err),
 	}
 }
 
@@ -180,18 +188,23 @@
 }
 
 func (r *Replica) probe(l *link, upstream *blackboard.Upstream) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	err := r.egress.config.Probe(ctx, upstream)
+	r.connects(context.Background(), l, upstream)
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.isProbing = false
 	r.probedAt = time.Now()
-	r.mu.Unlock()
-	if err != nil {
+}
+
+// connects tries to connect to the replica and records whether that succeeded.
+func (r *Replica) connects(ctx context.Context, l *link, upstream *blackboard.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if r.egress.config.Probe(ctx, upstream) != nil {
 		r.recordFailure(l)
-		return
+		return false
 	}
 	r.recordAnswer(l)
+	return true
 }
 
 // recordData records that data of the replica arrived.
@@ -209,11 +222,13 @@
 	return time.Since(r.heardAt)
 }
 
-// watchedBody records that data arrives.
+// watchedBody records that data arrives, and whose fault it is if the answer breaks off.
 type watchedBody struct {
 	io.ReadCloser
-	replica *Replica
-	link    *link
+	ctx      context.Context
+	replica  *Replica
+	link     *link
+	upstream *blackboard.Upstream
 }
 
 // Read implements io.Reader.
@@ -222,6 +237,9 @@
 	if n > 0 {
 		b.replica.recordData(b.link)
 	}
+	if err != nil && err != io.EOF && b.ctx.Err() == nil && b.replica.isPathAtFault(b.link, b.upstream) {
+		err = fmt.Errorf("%w: %w", zinniamast.ErrPathLost, err)
+	}
 	return n, err
 }
 
--- a/failure.go
+++ b/failure.go
@@ -28,8 +28,8 @@
 	FailureInvalid Failure = "invalid"
 	// FailureStopped means that this node stopped the attempt.
 	FailureStopped Failure = "stopped"
-	// FailurePath means that this node stopped the attempt because the upstream had become
-	// unreachable from it.
+	// FailurePath means that the upstream became unreachable from this node during the attempt
+	// and has not crashed, as far as other nodes can tell.
 	FailurePath Failure = "path"
 	// FailureRelay means that the node that relayed the attempt was lost during it.
 	FailureRelay Failure = "relay"
@@ -62,6 +62,10 @@
 	FailureRelay:        {Ran: Unknown, BlamesReplica: false, MayHaveCrashed: false},
 }
 
+// ErrPathLost is the error of an answer that ended early because this node's path to the
+// replica was lost, and not the replica.
+var ErrPathLost = errors.New("the path to the replica was lost")
+
 // ErrRelayLost is the error of an answer that ended early because the node that relayed it
 // was lost.
 var ErrRelayLost = errors.New("the relaying node was lost")
--- a/forward/partition_test.go
+++ b/forward/partition_test.go
@@ -436,3 +436,34 @@
 		f.is.Equal(f.served, f.sent)
 	})
 }
+
+// Guards against taking a real crash for the loss of a path, so that a request that crashes replicas goes on.
+func TestCrashesAreReportedBesideNodesWithoutReplicas(t *testing.T) {
+	const poison, tries = "poison", 8
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, fleetConfig{
+			seed:     1,
+			slots:    64,
+			hasPaths: true,
+			contents: []string{poison},
+		})
+		defer f.closeServers()
+		for i := range 2 {
+			time.AfterFunc(time.Second, func() { f.nodes[i].paths.cut(cutReset) })
+		}
+		var done sync.WaitGroup
+		done.Go(func() { f.callers(&done, 60, tries*time.Second) })
+		isHeldBack := false
+		for i := range tries {
+			time.Sleep(time.Second)
+			isHeldBack, _ = f.call(fmt.Sprint("p-", i), poison, 0)
+		}
+		done.Wait()
+		time.Sleep(time.Minute)
+		crashes := len(f.crashes[poison])
+		t.Logf("%d crashes, %d lines that report one; held back: %t; %d of %d others served, %d held back",
+			crashes, len(f.log.linesWith("replica crashed")), isHeldBack, f.served, f.sent, f.refused)
+		f.is.True(isHeldBack)
+		f.is.True(crashes >= 2 && crashes <= 3)
+	})
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -334,8 +334,11 @@
 
 // readFailure returns the failure of an answer that ended early with an error.
 func readFailure(err error) zinniamast.Failure {
-	if errors.Is(err, zinniamast.ErrRelayLost) {
+	switch {
+	case errors.Is(err, zinniamast.ErrRelayLost):
 		return zinniamast.FailureRelay
+	case errors.Is(err, zinniamast.ErrPathLost):
+		return zinniamast.FailurePath
 	}
 	return zinniamast.FailureCutShort
 }
