--- a/egress/diagnosis.go
+++ b/egress/diagnosis.go
@@ -12,8 +12,9 @@
 const (
 	// diagnosisTimeout bounds the probes through peers of one diagnosis.
 	diagnosisTimeout = 300 * time.Millisecond
-	// diagnosisPeers is the number of peers that are asked.
-	diagnosisPeers = 2
+	// diagnosisPeers is the number of peers that are asked at once. Some of them may be cut
+	// off as well.
+	diagnosisPeers = 4
 	// diagnosisTime is how long a diagnosis holds: the connections to one replica break
 	// together.
 	diagnosisTime = 200 * time.Millisecond
@@ -66,19 +67,29 @@
 	ctx, cancel := context.WithTimeout(context.Background(), diagnosisTimeout)
 	defer cancel()
 	peers := e.peers.choose(e.config.Peers(), upstream)
-	for _, peer := range peers[:min(len(peers), diagnosisPeers)] {
-		response, err := e.config.Client.Send(ctx, probeRequest(peer, upstream))
-		if err != nil {
-			continue
-		}
-		_ = response.Body.Close()
-		if response.Header.Get(headerOutcome) == outcomeAnswered {
+	peers = peers[:min(len(peers), diagnosisPeers)]
+	connected := make(chan bool, len(peers))
+	for _, peer := range peers {
+		go func() { connected <- e.probeThrough(ctx, peer, upstream) }()
+	}
+	for range peers {
+		if <-connected {
 			return true
 		}
 	}
 	return false
 }
 
+// probeThrough reports whether a peer can connect to a replica.
+func (e *Egress) probeThrough(ctx context.Context, peer Peer, upstream *blackboard.Upstream) bool {
+	response, err := e.config.Client.Send(ctx, probeRequest(peer, upstream))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.Header.Get(headerOutcome) == outcomeAnswered
+}
+
 // probeRequest returns a request that asks a peer to connect to a replica.
 func probeRequest(peer Peer, upstream *blackboard.Upstream) *http.Request {
 	header := http.Header{}
