Rest after a search that found no peer to relay a request

Callers see no change while a peer reaches the replicas. If all instances lose a service, each asked up to six others with each try, a handshake each: on 195 instances of a seventh of a core more work than the requests themselves.

--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -195,3 +198,64 @@
 		t.Error("the replica still works on the request")
 	}
 }
+
+// unfitPeers counts the requests to peers, none of which relays any.
+type unfitPeers struct{ asked atomic.Int64 }
+
+// Send implements zinniamast.Replica.
+func (p *unfitPeers) Send(context.Context, *http.Request) (*http.Response, error) {
+	p.asked.Add(1)
+	return &http.Response{
+		StatusCode: http.StatusBadGateway,
+		Header:     http.Header{"Relay-Outcome": {"unfit"}},
+		Body:       http.NoBody,
+	}, nil
+}
+
+// Close implements zinniamast.Replica.
+func (*unfitPeers) Close() {}
+
+// Guards against instances that ask all others with each request when all of them have lost a service.
+func TestOutageOfServiceAsksFewPeers(t *testing.T) {
+	const (
+		instances    = 195
+		perSecond    = 12
+		duration     = 10 * time.Second
+		maxPerSecond = 5
+	)
+	synctest.Test(t, func(t *testing.T) {
+		client := &unfitPeers{}
+		upstreams := blackboard.NewUpstreams()
+		e := egress.New(egress.Config{
+			Upstreams: upstreams,
+			Peers: func() []egress.Peer {
+				peers := make([]egress.Peer, instances-1)
+				for i := range peers {
+					peers[i].ID = fmt.Sprint("edge-", i)
+				}
+				return peers
+			},
+			Client: client,
+			Probe:  func(context.Context, *blackboard.Upstream) error { return errors.New("connection refused") },
+			Logger: slog.New(slog.DiscardHandler),
+		})
+		for i := range 4 {
+			upstreams.Add(&blackboard.Upstream{
+				Instance: zinniamast.Instance{
+					ID:      fmt.Sprint("i-", i),
+					Service: "svc",
+				},
+				Replica: e.Replica(fmt.Sprint("i-", i), unreachable{}),
+			})
+		}
+		for i := range perSecond * int(duration.Seconds()) {
+			time.Sleep(time.Second / perSecond)
+			request, err := http.NewRequest(http.MethodGet, "http://replica.example/", http.NoBody)
+			is.New(t).NoErr(err)
+			_, err = upstreams.Get(fmt.Sprint("i-", i%4)).Replica.Send(t.Context(), request)
+			is.New(t).Equal(zinniamast.AsUpstreamError(err).Failure, zinniamast.FailureDial)
+		}
+		t.Logf("%d peers asked by %d requests in %v", client.asked.Load(), perSecond*int(duration.Seconds()), duration)
+		is.New(t).True(client.asked.Load() <= maxPerSecond*int64(duration.Seconds()))
+	})
+}
--- a/egress/relay.go
+++ b/egress/relay.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -42,9 +41,15 @@
 )
 
 const (
-	// maxPeers and maxRelaySetup bound the search for a peer that takes a request.
-	maxPeers      = 6
+	// maxPeers and maxRelaySetup bound the search for a peer that takes a request. At most
+	// maxNearPeers are of the replica's failure domain, which may be cut off as a whole.
+	maxPeers      = 5
+	maxNearPeers  = 2
 	maxRelaySetup = 300 * time.Millisecond
+	// minRest and maxRest bound the time without a search after one that found no peer. It
+	// doubles with each.
+	minRest = 200 * time.Millisecond
+	maxRest = 2 * time.Second
 	// unfitTime is how long a peer that did not take a request gets no similar one.
 	unfitTime = time.Second
 )
@@ -53,21 +58,27 @@
 // request; no byte of it has reached the replica then.
 func (e *Egress) relay(ctx context.Context, upstream *blackboard.Upstream, request *http.Request) (response *http.Response, err error, sent bool) {
 	start := time.Now()
+	unreachable := upstream.Instance.Service
 	for _, peer := range e.peers.choose(e.config.Peers(), upstream) {
 		var unfitFor string
 		response, err, unfitFor = e.sendThrough(ctx, peer, upstream, request)
 		if unfitFor == "" {
 			e.metrics.count(err)
+			e.peers.recordSuccess(upstream)
 			e.logRelayed(request, upstream, peer, time.Since(start), err)
 			return response, err, true
 		}
 		e.peers.suspend(peer, unfitFor)
+		if unfitFor == upstream.Instance.ID {
+			unreachable = unfitFor
+		}
 		e.config.Logger.Debug("peer does not relay", "service", upstream.Instance.Service, "peer", peer.ID, "cause", err)
 		if ctx.Err() != nil || time.Since(start) > maxRelaySetup {
 			break
 		}
 	}
 	e.metrics.relayed.WithLabelValues(relayNoPeer).Inc()
+	e.peers.recordFailure(unreachable)
 	return nil, nil, false
 }
 
@@ -200,6 +211,15 @@
 	mu sync.Mutex
 	// unfitUntil holds the peers that did not take a request.
 	unfitUntil map[unfitKey]time.Time
+	// rests holds the services and replicas for which no peer was found. If all instances
+	// lose a service, each would otherwise ask all others with each of its requests.
+	rests map[string]rest
+}
+
+// rest is a time without a search.
+type rest struct {
+	until  time.Time
+	length time.Duration
 }
 
 // unfitKey is a peer and the service or the replica that it cannot reach.
@@ -214,6 +234,9 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if now.Before(c.rests[upstream.Instance.Service].until) || now.Before(c.rests[upstream.Instance.ID].until) {
+		return nil
+	}
 	var fit []Peer
 	for _, peer := range peers {
 		if !c.isUnfit(peer, upstream.Instance.Service, now) && !c.isUnfit(peer, upstream.Instance.ID, now) {
@@ -221,7 +244,14 @@
 		}
 	}
 	rand.Shuffle(len(fit), func(i, j int) { fit[i], fit[j] = fit[j], fit[i] })
-	slices.SortStableFunc(fit, func(a, b Peer) int { return distance(a, upstream) - distance(b, upstream) })
+	near := 0
+	isNear := func(peer Peer) bool { return peer.FailureDomain == upstream.Instance.FailureDomain }
+	for i := 0; i < len(fit) && near < maxNearPeers; i++ {
+		if isNear(fit[i]) {
+			fit[near], fit[i] = fit[i], fit[near]
+			near++
+		}
+	}
 	return fit[:min(len(fit), maxPeers)]
 }
 
@@ -240,11 +270,29 @@
 	return false
 }
 
-func distance(peer Peer, upstream *blackboard.Upstream) int {
-	if peer.FailureDomain == upstream.Instance.FailureDomain {
-		return 0
+// recordFailure records that no peer was found that reaches a service or a replica.
+func (c *peerChoice) recordFailure(target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.rests[target].until) {
+		return
+	}
+	if c.rests == nil {
+		c.rests = map[string]rest{}
 	}
-	return 1
+	length := min(max(2*c.rests[target].length, minRest), maxRest)
+	c.rests[target] = rest{
+		until:  time.Now().Add(length),
+		length: length,
+	}
+}
+
+// recordSuccess records that a peer took a request to a replica.
+func (c *peerChoice) recordSuccess(upstream *blackboard.Upstream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.rests, upstream.Instance.Service)
+	delete(c.rests, upstream.Instance.ID)
 }
 
 // suspend excludes a peer from relaying to a service or a replica for a while.
--- a/entry/egress.go
+++ b/entry/egress.go
@@ -14,7 +14,7 @@
 )
 
 // relayDialTimeout bounds connecting to another instance, with the handshake.
-const relayDialTimeout = 300 * time.Millisecond
+const relayDialTimeout = 200 * time.Millisecond
 
 // buildEgress builds the links to the replicas, and the relay of requests over those of
 // other instances.
