Soak instances that lose their paths to all replicas

Half of the instances at most lose all their links to the replicas for 2 to 4 s while the others are killed, stopped, paused and reloaded, replicas misbehave and the store fails. Their callers must be served two thirds as often as others from 1 s after the cut; nothing may run twice.

--- a/processtest/link.go
+++ b/processtest/link.go
@@ -56,6 +56,9 @@
 // Address returns the link's host:port.
 func (l *Link) Address() string { return l.address }
 
+// Target returns the host:port that the link stands in front of.
+func (l *Link) Target() string { return l.target }
+
 // URL returns the link's base URL.
 func (l *Link) URL() string { return "http://" + l.address }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -23,6 +23,8 @@
 	// Unanswered counts the requests that ended without an answer for an acceptable
 	// reason, by that reason.
 	Unanswered map[lossReason]int
+	// Cut compares instances that were cut off from all replicas with the others.
+	Cut CutSummary
 	// Violations describes the violated guarantees, one line each.
 	Violations []string
 }
@@ -60,6 +62,7 @@
 		}
 		s.Unanswered[reason]++
 	}
+	c.checkCuts(&s)
 	return s
 }
 
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -51,6 +51,8 @@
 	removed   []*replica.Replica
 	// disturbances are the unplanned faults of instances and links so far.
 	disturbances []disturbance
+	// cuts are the times at which an instance was cut off from all replicas.
+	cuts []disturbance
 }
 
 // disturbance is a fault of an instance or of a link.
@@ -109,6 +111,11 @@
 	readyAddress    string
 	storeLink       *processtest.Link
 	process         *processtest.Process
+	// paths are the instance's own links to the replicas, by ID, and arePathsCut reports
+	// whether they are cut; nil if all instances use the same links. The deployment's lock
+	// guards both.
+	paths       map[string]*processtest.Link
+	arePathsCut bool
 	// previous are the instance's earlier processes.
 	previous []*processtest.Process
 }
@@ -149,13 +156,17 @@
 			frontendAddress: processtest.FreeAddress(tb),
 			readyAddress:    processtest.FreeAddress(tb),
 			settings:        filepath.Join(directory, fmt.Sprintf("edge-%d.toml", i)),
-			storeLink:       processtest.NewLink(tb, fmt.Sprintf("store-of-edge-%d", i), d.store.Address()),
 		}
+		domain, storeAddress := failureDomains[i%len(failureDomains)], d.store.Address()
+		if c.OwnPaths {
+			domain, storeAddress = n.name, d.addPaths(n)
+		}
+		n.storeLink = processtest.NewLink(tb, fmt.Sprintf("store-of-edge-%d", i), storeAddress)
 		peer := processtest.FreeAddress(tb)
 		if i < 2 {
 			seeds = append(seeds, peer)
 		}
-		text := fmt.Sprintf(settings, n.name, failureDomains[i%len(failureDomains)], "["+quoted(seeds)+"]",
+		text := fmt.Sprintf(settings, n.name, domain, "["+quoted(seeds)+"]", zonesWith(domain),
 			n.frontendAddress, n.readyAddress, peer, retries.ratio, retries.slack, n.storeLink.Address(), d.store.Address())
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			tb.Fatal(err)
@@ -171,6 +182,17 @@
 	return d
 }
 
+// zonesWith returns the settings' table of failure domains with one more.
+func zonesWith(domain string) string {
+	var text strings.Builder
+	for _, zone := range append(slices.Clone(failureDomains), domain) {
+		if line := zone + " = \"bc\"\n"; !strings.Contains(text.String(), line) {
+			text.WriteString(line)
+		}
+	}
+	return text.String()
+}
+
 func quoted(addresses []string) string {
 	var all []string
 	for _, address := range addresses {
@@ -211,9 +233,7 @@
 zone = %q
 seeds = %s
 [zones]
-burnaby-a = "bc"
-surrey-b = "bc"
-[listen]
+%s[listen]
 frontend = %q
 ready = %q
 controlPlane = %q
@@ -250,6 +270,9 @@
 		address: link.Address(),
 		domain:  domain,
 	}
+	for _, n := range d.nodes {
+		d.addPath(n, r)
+	}
 	d.mu.Unlock()
 	d.putReplicaEntry(r, "ready")
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -187,15 +187,18 @@
 
 // injectFaults injects faults until ctx ends and returns a description of each. All
 // faults have ended when it returns.
-func (d *deployment) injectFaults(ctx context.Context, seed uint64) []string {
+func (d *deployment) injectFaults(ctx context.Context, c Config) []string {
 	i := &injector{
 		deployment: d,
 		started:    time.Now(),
 		active:     map[any]bool{},
 	}
 	var series sync.WaitGroup
-	series.Go(func() { i.injectSeries(ctx, faults, rand.New(rand.NewPCG(seed, seed))) })
-	series.Go(func() { i.injectSeries(ctx, silenceFaults, rand.New(rand.NewPCG(seed, ^seed))) })
+	series.Go(func() { i.injectSeries(ctx, faults, rand.New(rand.NewPCG(c.Seed, c.Seed))) })
+	series.Go(func() { i.injectSeries(ctx, silenceFaults, rand.New(rand.NewPCG(c.Seed, ^c.Seed))) })
+	if c.OwnPaths {
+		series.Go(func() { i.injectSeries(ctx, pathFaults, rand.New(rand.NewPCG(^c.Seed, c.Seed))) })
+	}
 	series.Wait()
 	i.running.Wait()
 	return i.injected
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,6 +16,9 @@
 	Instances int
 	// FaultDuration is the time for which faults are injected.
 	FaultDuration time.Duration
+	// OwnPaths gives each instance a failure domain and links to the replicas of its own,
+	// which are cut as a further fault.
+	OwnPaths bool
 }
 
 // retryBudget limits the retries of a deployment in each retry window of the settings.
@@ -55,7 +58,7 @@
 	withFaults = d.soak(c.Seed, func() []string {
 		ctx, cancel := context.WithTimeout(context.Background(), c.FaultDuration)
 		defer cancel()
-		return d.injectFaults(ctx, c.Seed)
+		return d.injectFaults(ctx, c)
 	})
 	if c.Seed%2 == 0 {
 		d.killAndRestartAll()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,10 +14,11 @@
 )
 
 var (
-	seeds  = flag.Int("soak.seeds", 4, "how many seeds are soaked")
-	first  = flag.Uint64("soak.first", 1, "the first seed")
-	length = flag.Duration("soak.length", 6*time.Second, "how long faults are injected")
-	size   = flag.Int("soak.instances", 4, "how many entry instances there are")
+	seeds    = flag.Int("soak.seeds", 4, "how many seeds are soaked")
+	cutSeeds = flag.Int("soak.cutseeds", 1, "how many seeds are soaked with instances that lose their paths")
+	first    = flag.Uint64("soak.first", 1, "the first seed")
+	length   = flag.Duration("soak.length", 6*time.Second, "how long faults are injected")
+	size     = flag.Int("soak.instances", 4, "how many entry instances there are")
 )
 
 func TestMain(m *testing.M) {
@@ -56,6 +57,30 @@
 	}
 }
 
+// Guards against instances that serve their callers worse than others while only their own paths to the replicas are cut, and the others are killed, stopped and reloaded.
+func TestSoakOfInstancesWithoutReplicas(t *testing.T) {
+	if testing.Short() {
+		*length = 2 * time.Second
+	}
+	for i := range uint64(*cutSeeds) {
+		t.Run(fmt.Sprintf("seed %d", *first+i), func(t *testing.T) {
+			faulty, calmed := soak.Run(t, soak.Config{
+				Seed:          *first + i,
+				Instances:     *size,
+				FaultDuration: *length,
+				OwnPaths:      true,
+			})
+			t.Logf("%d requests, %d served, %d refused, without answer %v; cut off %d, %d served; then %d, %d served",
+				faulty.Requests, faulty.Served, faulty.Refused, faulty.Unanswered, faulty.Cut.Sent, faulty.Cut.Served, calmed.Requests, calmed.Served)
+			t.Logf("faults: %v", faulty.Faults)
+			for _, line := range append(faulty.Violations, calmed.Violations...) {
+				t.Error(line)
+			}
+			is.New(t).True(float64(calmed.Served) > 0.95*float64(calmed.Requests))
+		})
+	}
+}
+
 // Guards against instances that together send a replica more than the limit that it names, while they are restarted in turn.
 func TestNamedLimitHoldsWhileInstancesRestart(t *testing.T) {
 	s := soak.RunLimited(t, soak.Config{
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -52,6 +52,7 @@
 	ver     uint64
 	changed chan struct{}
 	calls   int
+	views   []*httptest.Server
 }
 
 // New starts a store on a free port.
@@ -69,10 +70,36 @@
 	return s
 }
 
+// View opens a further address of the store, where the values of rows are read as rewrite
+// returns them, and returns its host:port.
+func (s *Store) View(rewrite func(table, key string, value []byte) []byte) string {
+	view := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.server.Config.Handler.ServeHTTP(viewWriter{
+			ResponseWriter: w,
+			rewrite:        rewrite,
+		}, r)
+	}))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.views = append(s.views, view)
+	return strings.TrimPrefix(view.URL, "http://")
+}
+
+// viewWriter is the response writer of a view.
+type viewWriter struct {
+	http.ResponseWriter
+	rewrite func(table, key string, value []byte) []byte
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w viewWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // Close stops the store.
 func (s *Store) Close() {
-	s.server.CloseClientConnections()
-	s.server.Close()
+	for _, server := range append(s.views, s.server) {
+		server.CloseClientConnections()
+		server.Close()
+	}
 }
 
 // Address returns host:port.
@@ -358,6 +385,12 @@
 func (s *Store) now() int64 { return clockStart + time.Since(s.startedAt).Milliseconds() }
 
 func (s *Store) write(w http.ResponseWriter, status int, a answer) {
+	if view, ok := w.(viewWriter); ok {
+		a.Rows = slices.Clone(a.Rows)
+		for i, row := range a.Rows {
+			a.Rows[i].Value = view.rewrite(row.Table, row.Key, row.Value)
+		}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(a); err != nil {
