Fail sends to replicas at once that no instance can reach, while others answer

Cause: the search for a peer was repeated with each request once a second, and the own path tried after it although it had just failed.

--- a/egress/diagnosis.go
+++ b/egress/diagnosis.go
@@ -66,7 +66,7 @@
 	e := r.egress
 	ctx, cancel := context.WithTimeout(context.Background(), diagnosisTimeout)
 	defer cancel()
-	peers := e.peers.choose(e.config.Peers(), upstream)
+	peers, _ := e.peers.choose(e.config.Peers(), upstream)
 	peers = peers[:min(len(peers), diagnosisPeers)]
 	connected := make(chan bool, len(peers))
 	for _, peer := range peers {
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -259,3 +260,106 @@
 		is.New(t).True(client.asked.Load() <= maxPerSecond*int64(duration.Seconds()))
 	})
 }
+
+// slowClient takes a time to fail to connect.
+type slowClient struct {
+	unreachable
+	timeout time.Duration
+}
+
+// Send implements zinniamast.Replica.
+func (c slowClient) Send(ctx context.Context, request *http.Request) (*http.Response, error) {
+	time.Sleep(c.timeout)
+	return c.unreachable.Send(ctx, request)
+}
+
+// answering is a client of a replica that answers at once.
+type answering struct{}
+
+// Send implements zinniamast.Replica.
+func (answering) Send(context.Context, *http.Request) (*http.Response, error) {
+	return &http.Response{
+		StatusCode: http.StatusOK,
+		Header:     http.Header{},
+		Body:       http.NoBody,
+	}, nil
+}
+
+// Close implements zinniamast.Replica.
+func (answering) Close() {}
+
+// Guards against requests that wait for connections to replicas that no instance can reach from a cut-off failure domain, while other replicas answer.
+func TestUnreachableReplicasFailAtOnceWhileOthersAnswer(t *testing.T) {
+	const (
+		dialTimeout = 300 * time.Millisecond
+		perSecond   = 10
+		notice      = 2 * time.Second
+		duration    = 20 * time.Second
+		maxSlow     = 0.1
+	)
+	synctest.Test(t, func(t *testing.T) {
+		upstreams := blackboard.NewUpstreams()
+		isReachable := func(id string) bool { return id == "i-0" }
+		e := egress.New(egress.Config{
+			Upstreams: upstreams,
+			Peers: func() []egress.Peer {
+				return []egress.Peer{{ID: "edge-2"}, {ID: "edge-3"}, {ID: "edge-4"}, {ID: "edge-5"}}
+			},
+			Client: slowClient{
+				timeout: dialTimeout,
+			},
+			Probe: func(_ context.Context, u *blackboard.Upstream) error {
+				if isReachable(u.Instance.ID) {
+					return nil
+				}
+				time.Sleep(dialTimeout)
+				return errors.New("i/o timeout")
+			},
+			Logger: slog.New(slog.DiscardHandler),
+		})
+		for i := range 4 {
+			id := fmt.Sprint("i-", i)
+			client := zinniamast.Replica(slowClient{
+				timeout: dialTimeout,
+			})
+			if isReachable(id) {
+				client = answering{}
+			}
+			upstreams.Add(&blackboard.Upstream{
+				Instance: zinniamast.Instance{
+					ID:      id,
+					Service: "svc",
+				},
+				Replica: e.Replica(id, client),
+			})
+		}
+		start := time.Now()
+		var sent, slow atomic.Int64
+		var sends sync.WaitGroup
+		for i := 0; time.Since(start) < duration; i++ {
+			time.Sleep(time.Second / perSecond)
+			sends.Go(func() {
+				id := fmt.Sprint("i-", i%4)
+				request, err := http.NewRequest(http.MethodGet, "http://replica.example/", http.NoBody)
+				is.New(t).NoErr(err)
+				began := time.Now()
+				response, err := upstreams.Get(id).Replica.Send(t.Context(), request)
+				is.New(t).Equal(err == nil, isReachable(id))
+				if err == nil {
+					_ = response.Body.Close()
+				}
+				if isReachable(id) || began.Sub(start) < notice {
+					return
+				}
+				sent.Add(1)
+				if time.Since(began) >= dialTimeout {
+					slow.Add(1)
+				}
+			})
+		}
+		sends.Wait()
+		time.Sleep(time.Minute) // until the last probes have ended
+		t.Logf("%d of %d sends to unreachable replicas waited for a connection", slow.Load(), sent.Load())
+		is.New(t).True(float64(slow.Load()) <= maxSlow*float64(sent.Load()))
+	})
+}
--- a/egress/relay.go
+++ b/egress/relay.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -49,22 +50,28 @@
 	// minRest and maxRest bound the time without a search after one that found no peer. It
 	// doubles with each.
 	minRest = 200 * time.Millisecond
-	maxRest = 2 * time.Second
-	// unfitTime is how long a peer that did not take a request gets no similar one.
-	unfitTime = time.Second
+	maxRest = 4 * time.Second
+	// minUnfit and maxUnfit bound how long a peer that did not take a request gets no
+	// similar one. The time doubles with each.
+	minUnfit = time.Second
+	maxUnfit = 4 * time.Second
 )
 
 // relay sends a request to a replica through a peer. It returns false if no peer took the
 // request; no byte of it has reached the replica then.
 func (e *Egress) relay(ctx context.Context, upstream *blackboard.Upstream, request *http.Request) (response *http.Response, err error, sent bool) {
 	start := time.Now()
+	peers, rests := e.peers.choose(e.config.Peers(), upstream)
+	if rests {
+		return nil, nil, false
+	}
 	unreachable := upstream.Instance.Service
-	for _, peer := range e.peers.choose(e.config.Peers(), upstream) {
+	for _, peer := range peers {
 		var unfitFor string
 		response, err, unfitFor = e.sendThrough(ctx, peer, upstream, request)
 		if unfitFor == "" {
 			e.metrics.count(err)
-			e.peers.recordSuccess(upstream)
+			e.peers.recordSuccess(peer, upstream)
 			e.logRelayed(request, upstream, peer, time.Since(start), err)
 			return response, err, true
 		}
@@ -78,7 +85,7 @@
 		}
 	}
 	e.metrics.relayed.WithLabelValues(relayNoPeer).Inc()
-	e.peers.recordFailure(unreachable)
+	e.peers.recordFailure(unreachable, start)
 	return nil, nil, false
 }
 
@@ -209,15 +216,16 @@
 // peerChoice chooses the peers that requests are relayed through.
 type peerChoice struct {
 	mu sync.Mutex
-	// unfitUntil holds the peers that did not take a request.
-	unfitUntil map[unfitKey]time.Time
+	// unfit holds the peers that did not take a request.
+	unfit map[unfitKey]rest
 	// rests holds the services and replicas for which no peer was found. If all instances
 	// lose a service, each would otherwise ask all others with each of its requests.
 	rests map[string]rest
 }
 
-// rest is a time without a search.
+// rest is a time without a search, or without requests to a peer.
 type rest struct {
+	began  time.Time
 	until  time.Time
 	length time.Duration
 }
@@ -228,14 +236,23 @@
 	target string
 }
 
-// choose returns the peers to ask for a request to a replica, the first one first. Those in
-// the replica's failure domain are preferred: no byte crosses between failure domains twice.
-func (c *peerChoice) choose(peers []Peer, upstream *blackboard.Upstream) []Peer {
+// choose returns the peers to ask for a request to a replica, the first one first, or that the
+// search rests. Peers in the replica's failure domain are preferred: no byte crosses between
+// failure domains twice.
+func (c *peerChoice) choose(peers []Peer, upstream *blackboard.Upstream) (chosen []Peer, rests bool) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Before(c.rests[upstream.Instance.Service].until) || now.Before(c.rests[upstream.Instance.ID].until) {
-		return nil
+	targets := []string{upstream.Instance.Service, upstream.Instance.ID}
+	if slices.ContainsFunc(targets, func(target string) bool { return now.Before(c.rests[target].until) }) {
+		return nil, true
+	}
+	for _, target := range targets {
+		if r, ok := c.rests[target]; ok {
+			// One request searches after a rest, and the others do not wait for it.
+			r.until = now.Add(maxRelaySetup)
+			c.rests[target] = r
+		}
 	}
 	var fit []Peer
 	for _, peer := range peers {
@@ -252,7 +269,7 @@
 			near++
 		}
 	}
-	return fit[:min(len(fit), maxPeers)]
+	return fit[:min(len(fit), maxPeers)], false
 }
 
 // isUnfit reports whether a peer cannot reach a service or a replica. The caller holds the
@@ -262,48 +279,55 @@
 		peer:   peer.ID,
 		target: target,
 	}
-	until, ok := c.unfitUntil[key]
-	if ok && now.Before(until) {
-		return true
-	}
-	delete(c.unfitUntil, key)
-	return false
+	return now.Before(c.unfit[key].until)
 }
 
-// recordFailure records that no peer was found that reaches a service or a replica.
-func (c *peerChoice) recordFailure(target string) {
+// recordFailure records that a search found no peer that reaches a service or a replica.
+func (c *peerChoice) recordFailure(target string, searchBegan time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if time.Now().Before(c.rests[target].until) {
+	if searchBegan.Before(c.rests[target].began) {
 		return
 	}
 	if c.rests == nil {
 		c.rests = map[string]rest{}
 	}
-	length := min(max(2*c.rests[target].length, minRest), maxRest)
-	c.rests[target] = rest{
+	c.rests[target] = c.rests[target].next(minRest, maxRest)
+}
+
+// next returns the rest after this one, which is twice as long within bounds.
+func (r rest) next(shortest, longest time.Duration) rest {
+	length := min(max(2*r.length, shortest), longest)
+	return rest{
+		began:  time.Now(),
 		until:  time.Now().Add(length),
 		length: length,
 	}
 }
 
 // recordSuccess records that a peer took a request to a replica.
-func (c *peerChoice) recordSuccess(upstream *blackboard.Upstream) {
+func (c *peerChoice) recordSuccess(peer Peer, upstream *blackboard.Upstream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.rests, upstream.Instance.Service)
-	delete(c.rests, upstream.Instance.ID)
+	for _, target := range []string{upstream.Instance.Service, upstream.Instance.ID} {
+		delete(c.rests, target)
+		delete(c.unfit, unfitKey{
+			peer:   peer.ID,
+			target: target,
+		})
+	}
 }
 
 // suspend excludes a peer from relaying to a service or a replica for a while.
 func (c *peerChoice) suspend(peer Peer, target string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unfitUntil == nil {
-		c.unfitUntil = map[unfitKey]time.Time{}
+	if c.unfit == nil {
+		c.unfit = map[unfitKey]rest{}
 	}
-	c.unfitUntil[unfitKey{
+	key := unfitKey{
 		peer:   peer.ID,
 		target: target,
-	}] = time.Now().Add(unfitTime)
+	}
+	c.unfit[key] = c.unfit[key].next(minUnfit, maxUnfit)
 }
--- a/egress/replica.go
+++ b/egress/replica.go
@@ -54,7 +54,8 @@
 func (r *Replica) Close() { r.direct.Close() }
 
 // Send implements zinniamast.Replica. A request is relayed only if no byte of it was sent to
-// the replica. If no peer takes it, the path is tried although it seems down.
+// the replica. If no peer takes it, it fails at once while other replicas answer, and otherwise
+// the path is tried although it seems down.
 func (r *Replica) Send(ctx context.Context, request *http.Request) (*http.Response, error) {
 	upstream := r.egress.config.Upstreams.Get(r.id)
 	if upstream == nil {
@@ -67,6 +68,9 @@
 		if response, err, sent := r.relay(ctx, l, upstream, request); sent {
 			return response, err
 		}
+		if !l.checkDown() {
+			return nil, r.unreachable()
+		}
 	}
 	response, err := r.sendDirect(ctx, l, upstream, request)
 	if relayFirst || !isDialFailure(err) || ctx.Err() != nil || !l.isSuspect() {
@@ -78,6 +82,18 @@
 	return nil, err
 }
 
+// errUnreachable is the cause of a send that was not tried.
+var errUnreachable = errors.New("egress: neither this instance nor its peers can connect to the replica")
+
+// unreachable returns the error of a send that was not tried.
+func (r *Replica) unreachable() *zinniamast.UpstreamError {
+	return &zinniamast.UpstreamError{
+		Failure:  zinniamast.FailureDial,
+		Upstream: r.id,
+		Cause:    errUnreachable,
+	}
+}
+
 // shouldRelay reports whether a request is to be relayed without trying the path.
 func (r *Replica) shouldRelay(l *link) bool {
 	return r.isPathDown(l) || l.checkDown()
