Keep the links of a cut instance its own in the soak

Traced: an instance that starts gets the replicas from a neighbour if that answers before the store, and with them the neighbour's links, which this soak alone tells apart; so instances were cut that the soak took for sound.

Instances have no seeds in this soak and find each other in the store, and the store's faults are left to TestSoak, which is unchanged. The checks are the same.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -163,7 +163,8 @@
 		}
 		n.storeLink = processtest.NewLink(tb, fmt.Sprintf("store-of-edge-%d", i), storeAddress)
 		peer := processtest.FreeAddress(tb)
-		if i < 2 {
+		// A starting instance would get the links of a seed with the replicas from it.
+		if i < 2 && !c.OwnPaths {
 			seeds = append(seeds, peer)
 		}
 		text := fmt.Sprintf(settings, n.name, domain, "["+quoted(seeds)+"]", zonesWith(domain),
@@ -179,9 +180,15 @@
 	for _, n := range d.nodes {
 		d.waitReady(n)
 	}
+	if c.OwnPaths {
+		time.Sleep(joinTime)
+	}
 	return d
 }
 
+// joinTime is the time in which instances without seeds find each other in the store.
+const joinTime = 5 * time.Second
+
 // zonesWith returns the settings' table of failure domains with one more.
 func zonesWith(domain string) string {
 	var text strings.Builder
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +26,10 @@
 	unplanned bool
 }
 
+// isAtStore reports whether the fault is one of the store. While the store cannot be reached, a
+// starting instance gets the replicas from another one, with the links of that.
+func (f fault) isAtStore() bool { return strings.Contains(f.name, "store") }
+
 // asUnplanned returns the fault marked as unplanned.
 func (f fault) asUnplanned() fault {
 	f.unplanned = true
@@ -194,7 +200,11 @@
 		active:     map[any]bool{},
 	}
 	var series sync.WaitGroup
-	series.Go(func() { i.injectSeries(ctx, faults, rand.New(rand.NewPCG(c.Seed, c.Seed))) })
+	first := faults
+	if c.OwnPaths {
+		first = slices.DeleteFunc(slices.Clone(faults), fault.isAtStore)
+	}
+	series.Go(func() { i.injectSeries(ctx, first, rand.New(rand.NewPCG(c.Seed, c.Seed))) })
 	series.Go(func() { i.injectSeries(ctx, silenceFaults, rand.New(rand.NewPCG(c.Seed, ^c.Seed))) })
 	if c.OwnPaths {
 		series.Go(func() { i.injectSeries(ctx, pathFaults, rand.New(rand.NewPCG(^c.Seed, c.Seed))) })
