--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// Guards against instances that serve their callers worse than others while only their own paths to the replicas are cut, and the others are killed, stopped and reloaded.
+// Guards against instances that serve their callers worse than others while only their own paths to the replicas are cut, and the others are paused and reloaded.
 func TestSoakOfInstancesWithoutReplicas(t *testing.T) {
 	if testing.Short() {
 		*length = 2 * time.Second
