--- a/egress/link.go
+++ b/egress/link.go
@@ -22,8 +22,8 @@
 	silenceTimeout = 300 * time.Millisecond
 )
 
-// errPathDown ends a send whose answer cannot arrive.
-var errPathDown = errors.New("egress: the path to the replica is down")
+// errAbandoned ends a send whose answer cannot arrive.
+var errAbandoned = errors.New("egress: abandoned, as the path to the replica is down")
 
 // link is what this instance knows of its paths to the replicas of one service.
 //
@@ -188,7 +188,7 @@
 	l.update()
 	for w := range l.waiting {
 		if (l.isDown || w.replica == replica) && time.Since(w.since) >= silenceTimeout {
-			w.cancel(errPathDown)
+			w.cancel(errAbandoned)
 		}
 	}
 }
--- a/egress/relay.go
+++ b/egress/relay.go
@@ -59,21 +59,21 @@
 
 // relay sends a request to a replica through a peer. It returns false if no peer took the
 // request; no byte of it has reached the replica then.
-func (e *Egress) relay(ctx context.Context, upstream *blackboard.Upstream, request *http.Request) (response *http.Response, err error, sent bool) {
+func (e *Egress) relay(ctx context.Context, upstream *blackboard.Upstream, request *http.Request) (response *http.Response, sent bool, err error) {
 	start := time.Now()
 	peers, rests := e.peers.choose(e.config.Peers(), upstream)
 	if rests {
-		return nil, nil, false
+		return nil, false, nil
 	}
 	unreachable := upstream.Instance.Service
 	for _, peer := range peers {
 		var unfitFor string
-		response, err, unfitFor = e.sendThrough(ctx, peer, upstream, request)
+		response, unfitFor, err = e.sendThrough(ctx, peer, upstream, request)
 		if unfitFor == "" {
 			e.metrics.count(err)
 			e.peers.recordSuccess(peer, upstream)
 			e.logRelayed(request, upstream, peer, time.Since(start), err)
-			return response, err, true
+			return response, true, err
 		}
 		e.peers.suspend(peer, unfitFor)
 		if unfitFor == upstream.Instance.ID {
@@ -86,7 +86,7 @@
 	}
 	e.metrics.relayed.WithLabelValues(relayNoPeer).Inc()
 	e.peers.recordFailure(unreachable, start)
-	return nil, nil, false
+	return nil, false, nil
 }
 
 // logRelayed logs a relayed request and the error of its send. Requests without an ID are
@@ -103,19 +103,19 @@
 
 // sendThrough sends a request through one peer. If the peer did not take it, unfitFor is the
 // service or the replica that the peer cannot reach.
-func (e *Egress) sendThrough(ctx context.Context, peer Peer, upstream *blackboard.Upstream, request *http.Request) (_ *http.Response, err error, unfitFor string) {
+func (e *Egress) sendThrough(ctx context.Context, peer Peer, upstream *blackboard.Upstream, request *http.Request) (_ *http.Response, unfitFor string, err error) {
 	service := upstream.Instance.Service
 	relayed, err := relayedRequest(ctx, peer, upstream, request)
 	if err != nil {
-		return nil, err, service
+		return nil, service, err
 	}
 	response, err := e.config.Client.Send(ctx, relayed)
 	if err != nil {
 		failure := zinniamast.AsUpstreamError(err)
 		if failure.Failure == zinniamast.FailureDial {
-			return nil, err, service
+			return nil, service, err
 		}
-		return nil, peerFailure(upstream, failure), ""
+		return nil, "", peerFailure(upstream, failure)
 	}
 	outcome := response.Header.Get(headerOutcome)
 	switch outcome {
@@ -127,7 +127,7 @@
 				body:     response.Body,
 			}
 		}
-		return response, nil, ""
+		return response, "", nil
 	case outcomeUnreachable:
 		unfitFor = upstream.Instance.ID
 	case outcomeUnfit:
@@ -139,11 +139,11 @@
 	if _, ok := zinniamast.FailureOutcomes[failure]; !ok {
 		failure = zinniamast.FailureRelay
 	}
-	return nil, &zinniamast.UpstreamError{
+	return nil, unfitFor, &zinniamast.UpstreamError{
 		Failure:  failure,
 		Upstream: upstream.Instance.ID,
 		Cause:    fmt.Errorf("egress: through %s: %s", peer.ID, message),
-	}, unfitFor
+	}
 }
 
 // maxMessageBytes bounds the text that a peer sends with a failure.
--- a/egress/replica.go
+++ b/egress/replica.go
@@ -65,7 +65,7 @@
 	relayFirst := r.shouldRelay(l)
 	if relayFirst {
 		r.startProbe(l, upstream)
-		if response, err, sent := r.relay(ctx, l, upstream, request); sent {
+		if response, sent, err := r.relay(ctx, l, upstream, request); sent {
 			return response, err
 		}
 		if !l.checkDown() {
@@ -76,7 +76,7 @@
 	if relayFirst || !isDialFailure(err) || ctx.Err() != nil || !l.isSuspect() {
 		return response, err
 	}
-	if relayed, relayErr, sent := r.relay(ctx, l, upstream, request); sent {
+	if relayed, sent, relayErr := r.relay(ctx, l, upstream, request); sent {
 		return relayed, relayErr
 	}
 	return nil, err
@@ -114,12 +114,12 @@
 
 // relay sends a request through a peer. An answer proves that the replica can be reached from
 // elsewhere, so that waiting for those over this instance's own paths is in vain.
-func (r *Replica) relay(ctx context.Context, l *link, upstream *blackboard.Upstream, request *http.Request) (response *http.Response, err error, sent bool) {
-	response, err, sent = r.egress.relay(ctx, upstream, request)
+func (r *Replica) relay(ctx context.Context, l *link, upstream *blackboard.Upstream, request *http.Request) (response *http.Response, sent bool, err error) {
+	response, sent, err = r.egress.relay(ctx, upstream, request)
 	if sent && err == nil {
 		l.abandon(r.id)
 	}
-	return response, err, sent
+	return response, sent, err
 }
 
 // sendDirect sends a request over this instance's own path.
@@ -153,7 +153,7 @@
 // pathFailure returns the error of a send, which differs if this instance's path was at fault.
 func (r *Replica) pathFailure(ctx context.Context, l *link, upstream *blackboard.Upstream, err error) error {
 	failure := zinniamast.AsUpstreamError(err)
-	isAbandoned := errors.Is(context.Cause(ctx), errPathDown) && !isDialFailure(err)
+	isAbandoned := errors.Is(context.Cause(ctx), errAbandoned) && !isDialFailure(err)
 	isReset := failure != nil && failure.Failure == zinniamast.FailureReset && ctx.Err() == nil
 	if !isAbandoned && !(isReset && r.isPathAtFault(l, upstream)) {
 		return err
