Log when the retry budget is used up, with its counts

A refusal as retry_budget did not say how many sends had been repeated, nor by how many nodes the slack was divided, so that the log could not tell a process that forgets its predecessor's repeats from one that does not know the fleet's size. One line in each slot of the window now says both. No decision changes.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -227,6 +227,7 @@
 			Slack:  s.Bounds.RetrySlack,
 			Window: s.Bounds.RetryWindow,
 			Nodes:  e.nodeCount,
+			Logger: e.config.Logger,
 		}),
 		Allowance:  e.allowance,
 		Throttle:   e.throttle,
--- a/retry/window.go
+++ b/retry/window.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"log/slog"
 	"sync"
 	"time"
 )
@@ -14,6 +15,8 @@
 	Window time.Duration
 	// Nodes returns the number of nodes that share Slack.
 	Nodes func() int
+	// Logger logs when the limit refuses repeated sends. If nil, nothing is logged.
+	Logger *slog.Logger
 	// Now returns the current time. If nil, it is time.Now.
 	Now func() time.Time
 }
@@ -47,14 +50,19 @@
 type counts struct {
 	started  [windowSlots + 1]int
 	repeated [windowSlots + 1]int
-	// newest is the number of the newest slot.
-	newest int64
+	// newest is the number of the newest slot, and refusedIn that of the last one in which
+	// the limit refused a send.
+	newest    int64
+	refusedIn int64
 	// waiters are the requests that wait for a repeated send, the oldest first.
 	waiters []*waiter
 }
 
 // NewWindow returns a window without any sends.
 func NewWindow(config WindowConfig) *Window {
+	if config.Logger == nil {
+		config.Logger = slog.New(slog.DiscardHandler)
+	}
 	if config.Now == nil {
 		config.Now = time.Now
 	}
@@ -81,12 +89,25 @@
 	c := w.counts(service)
 	w.grant(c)
 	if !w.hasRoom(c) {
+		w.logRefusal(service, c)
 		return false
 	}
 	*c.repeatedIn(c.newest)++
 	return true
 }
 
+// logRefusal logs that the limit refuses a repeated send, once in each slot. The caller
+// holds the lock.
+func (w *Window) logRefusal(service string, c *counts) {
+	if c.refusedIn == c.newest {
+		return
+	}
+	c.refusedIn = c.newest
+	started, repeated := c.totals()
+	w.config.Logger.Info("retry budget used up", "service", service, "started", started, "repeated", repeated,
+		"limit", w.limit(float64(started)), "nodes", w.config.Nodes())
+}
+
 // hasRoom reports whether the limit allows one more repeated send. The caller holds the
 // lock.
 func (w *Window) hasRoom(c *counts) bool {
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -1,6 +1,8 @@
 package retry_test
 
 import (
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +92,26 @@
 	now = now.Add(12 * time.Second)
 	check.Equal(count(), 8) // the window has passed
 }
+
+// Guards against a retry budget whose use cannot be told from the log.
+func TestRefusedRetriesAreLoggedOncePerSlot(t *testing.T) {
+	check := is.New(t)
+	now := time.Unix(1000, 0)
+	var log strings.Builder
+	w := retry.NewWindow(retry.WindowConfig{
+		Ratio:  0.2,
+		Slack:  20,
+		Window: 10 * time.Second,
+		Nodes:  func() int { return 4 },
+		Logger: slog.New(slog.NewTextHandler(&log, nil)),
+		Now:    func() time.Time { return now },
+	})
+	for range 2 {
+		for range 10 {
+			w.AllowRetry("svc")
+		}
+		now = now.Add(time.Second)
+	}
+	check.Equal(strings.Count(log.String(), `msg="retry budget used up" service=svc started=0 repeated=4 limit=4.25 nodes=4`), 2)
+	check.Equal(strings.Count(log.String(), "\n"), 2)
+}
