Use a small part of the retry budget while other processes may have used the rest

Cause: a process used its instance's whole part of the limit from its start on, although the process before it had used the same part within the window; and it divided the slack by one until it had read the roster, for as long as the store was away. Class: a bound of the fleet that lives in the memory of processes, and that each new process spends once more.

A process now uses a tenth of the limit, earned from its start on, until nothing that others did on its behalf can be in one window with its own sends: a restarted one until a window after its start, one that joins uses only so much of the slack until the others have counted it for a whole window. The first read of the roster tells which it is; when a deployment starts for the first time the limit holds at once. Without being on the roster a process uses no slack at all. 0.85 + 0.1 of the limit stay below it whatever the order of restarts.

New in retry, for nodes that restart and join at random: TestWindowLimitsRepeatsOfRestartedNodes, TestWindowLimitsRepeatsWhileNodesJoin, TestRestartedNodeGetsItsLimitBack. The soak's settings say bootstrap, as the platform's do at the first start.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -78,6 +78,7 @@
 		ID:            s.Instance,
 		FailureDomain: s.FailureDomain,
 		Address:       s.Peer,
+		IsFirstStart:  s.IsFirstStart,
 		Offset:        e.clock.LocalOffset,
 		OnOffsets:     e.clock.SetOffset,
 		Logger:        e.config.Logger,
@@ -226,8 +227,11 @@
 			Ratio:  s.Bounds.RetryRatio,
 			Slack:  s.Bounds.RetrySlack,
 			Window: s.Bounds.RetryWindow,
-			Nodes:  e.nodeCount,
+			Nodes:  e.retryNodes,
 			Logger: e.config.Logger,
+
+			EarnedFrom: e.retriesEarnedFrom,
+			SharedFrom: e.retriesSharedFrom,
 		}),
 		Allowance:  e.allowance,
 		Throttle:   e.throttle,
@@ -272,10 +276,6 @@
 	return ""
 }
 
-// nodeCount returns the number of entry instances, including those that are
-// partitioned from this one.
-func (e *Entry) nodeCount() int { return max(1, len(e.roster.Instances())) }
-
 // duties returns the controllers that act for the fleet while this node holds
 // the lease.
 func (e *Entry) duties() []func(context.Context) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -94,6 +94,7 @@
 // Entry is one entry instance.
 type Entry struct {
 	config    Config
+	created   time.Time
 	routes    *routes.Table
 	board     *blackboard.Board
 	router    zinniamast.Router
@@ -141,6 +142,7 @@
 	}
 	e := &Entry{
 		config:    config,
+		created:   time.Now(),
 		routes:    &routes.Table{},
 		board:     blackboard.New(),
 		runRouter: func(context.Context) {},
--- a/retry/wait.go
+++ b/retry/wait.go
@@ -84,31 +84,54 @@
 // expected sends leaves it before the last one. It returns false if the limit stays below
 // the number. The caller holds the lock.
 func (w *Window) expectedWait(c *counts, sends int) (wait time.Duration, ok bool) {
-	now := w.config.Now().UnixNano()
-	length := int64(w.slotLength())
-	untilSlot := func(n int64) float64 { return time.Duration((c.newest+n)*length - now).Seconds() }
-	rate := c.startRate(now, length)
-	startedCount, repeatedCount := c.totals()
-	started, repeated := float64(startedCount), float64(repeatedCount)
-	for n := int64(0); n <= windowSlots+1; n++ {
-		at := 0.0
-		if n > 0 {
-			at = untilSlot(n)
-			started -= float64(*c.startedIn(c.newest + n))
-			repeated -= float64(*c.repeatedIn(c.newest + n))
-		}
-		missing := repeated + float64(sends) - w.limit(started+rate*at)
-		if missing > 0 && rate > 0 && w.config.Ratio > 0 {
-			at += missing / (usableFraction * w.config.Ratio * rate)
+	now := w.config.Now()
+	rate := c.startRate(now.UnixNano(), int64(w.slotLength()))
+	changes := w.limitChanges(c, now)
+	for i, at := range changes[:len(changes)-1] {
+		started, repeated := c.totalsAfter(w.slotsPassed(c, at))
+		elapsed := at.Sub(now)
+		missing := float64(repeated+sends) - w.limit(float64(started)+rate*elapsed.Seconds(), at)
+		if growth := w.growth(rate, at); missing > 0 && growth > 0 {
+			elapsed += time.Duration(missing / growth * float64(time.Second))
 			missing = 0
 		}
-		if missing <= 0 && (at == 0 || at < untilSlot(n+1)) {
-			return time.Duration(at * float64(time.Second)), true
+		if missing <= 0 && (elapsed == 0 || now.Add(elapsed).Before(changes[i+1])) {
+			return elapsed, true
 		}
 	}
 	return 0, false
 }
 
+// limitChanges returns the times from now on at which the limit does not grow steadily: now,
+// the ends of slots, and the times from which the node may use more of its parts.
+func (w *Window) limitChanges(c *counts, now time.Time) []time.Time {
+	changes := []time.Time{now}
+	for n := int64(1); n <= windowSlots+2; n++ {
+		changes = append(changes, time.Unix(0, (c.newest+n)*int64(w.slotLength())))
+	}
+	for _, at := range []time.Time{w.created.Add(w.config.Window), w.config.EarnedFrom(), w.config.SharedFrom()} {
+		if i, found := slices.BinarySearchFunc(changes, at, time.Time.Compare); !found && i > 0 && i < len(changes) {
+			changes = slices.Insert(changes, i, at)
+		}
+	}
+	return changes
+}
+
+// slotsPassed returns the number of slots that have left the window at the given time.
+func (w *Window) slotsPassed(c *counts, at time.Time) int64 {
+	return max(0, at.UnixNano()/int64(w.slotLength())-c.newest)
+}
+
+// totalsAfter returns the totals without the oldest slots, as many as have left the window.
+func (c *counts) totalsAfter(slots int64) (started, repeated int) {
+	started, repeated = c.totals()
+	for n := int64(1); n <= min(slots, windowSlots+1); n++ {
+		started -= *c.startedIn(c.newest + n)
+		repeated -= *c.repeatedIn(c.newest + n)
+	}
+	return started, repeated
+}
+
 // startRate returns the first sends per second since the oldest one within the window.
 func (c *counts) startRate(now, slotLength int64) float64 {
 	started, oldest := 0, c.newest
--- a/retry/window.go
+++ b/retry/window.go
@@ -13,8 +13,17 @@
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
-	// Nodes returns the number of nodes that share Slack.
+	// Nodes returns the number of nodes that share Slack; zero while this node does not know
+	// that the others count it as one of them. It uses no slack then.
 	Nodes func() int
+	// EarnedFrom returns the time from which the sends of this node's process before this one
+	// are out of every window; until then its own requests earn only a part of the ratio. If
+	// nil, there was no such process.
+	EarnedFrom func() time.Time
+	// SharedFrom returns the time from which the other nodes leave this one its share of
+	// Slack, in every window; until then it uses only a part of that share. If nil, they
+	// always do.
+	SharedFrom func() time.Time
 	// Logger logs when the limit refuses repeated sends. If nil, nothing is logged.
 	Logger *slog.Logger
 	// Now returns the current time. If nil, it is time.Now.
@@ -30,6 +39,9 @@
 	// late, so when many are added at once, each node's share of the slack is too
 	// large for a while.
 	usableFraction = 0.85
+	// earlyFraction is the fraction that a node uses while others may have used
+	// usableFraction of the same part within the window. Both together stay below the limit.
+	earlyFraction = 0.1
 )
 
 // Window limits repeated sends to a service over all nodes without communication
@@ -39,8 +51,14 @@
 // receive twice its load. Each node therefore repeats at most a fixed ratio of its
 // own requests plus its share of the slack. Over all nodes this adds up to the
 // same ratio of all requests plus the slack, even if nodes cannot reach each other.
+//
+// A process does not know what the one before it has repeated, nor whether the other nodes
+// count it already. Until both no longer matter, it uses a small part of the limit, which it
+// earns from its start on, so that a node that is restarted again and again does not use that
+// part each time.
 type Window struct {
-	config WindowConfig
+	config  WindowConfig
+	created time.Time
 
 	mu       sync.Mutex
 	services map[string]*counts
@@ -66,8 +84,14 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
+	for _, from := range []*func() time.Time{&config.EarnedFrom, &config.SharedFrom} {
+		if *from == nil {
+			*from = func() time.Time { return time.Time{} }
+		}
+	}
 	return &Window{
 		config:   config,
+		created:  config.Now(),
 		services: map[string]*counts{},
 	}
 }
@@ -104,23 +128,58 @@
 	}
 	c.refusedIn = c.newest
 	started, repeated := c.totals()
+	now := w.config.Now()
 	w.config.Logger.Info("retry budget used up", "service", service, "started", started, "repeated", repeated,
-		"limit", w.limit(float64(started)), "nodes", w.config.Nodes())
+		"limit", w.limit(float64(started), now), "nodes", w.config.Nodes(), "earned", w.hasEarned(now), "shared", w.hasShare(now))
 }
 
 // hasRoom reports whether the limit allows one more repeated send. The caller holds the
 // lock.
 func (w *Window) hasRoom(c *counts) bool {
 	started, repeated := c.totals()
-	return float64(repeated+1) <= w.limit(float64(started))
+	return float64(repeated+1) <= w.limit(float64(started), w.config.Now())
 }
 
-// limit returns the number of repeated sends that the node may make in a window with the
-// given number of first sends.
-func (w *Window) limit(started float64) float64 {
-	return usableFraction * (w.config.Ratio*started + w.config.Slack/float64(max(1, w.config.Nodes())))
+// limit returns the number of repeated sends that the node may make in a window that ends at
+// the given time and has the given number of first sends.
+func (w *Window) limit(started float64, at time.Time) float64 {
+	limit := earlyFraction * w.config.Ratio * started
+	if w.hasEarned(at) {
+		limit = usableFraction * w.config.Ratio * started
+	}
+	if w.hasShare(at) {
+		return limit + usableFraction*w.slackShare()
+	}
+	age := min(1, float64(at.Sub(w.created))/float64(w.config.Window))
+	return limit + earlyFraction*age*w.slackShare()
 }
 
+// growth returns by how much the limit grows per second at the given time, if requests
+// start at the given rate.
+func (w *Window) growth(rate float64, at time.Time) float64 {
+	growth := earlyFraction * w.config.Ratio * rate
+	if w.hasEarned(at) {
+		growth = usableFraction * w.config.Ratio * rate
+	}
+	if !w.hasShare(at) && at.Sub(w.created) < w.config.Window {
+		growth += earlyFraction * w.slackShare() / w.config.Window.Seconds()
+	}
+	return growth
+}
+
+// slackShare returns the node's share of the slack.
+func (w *Window) slackShare() float64 {
+	if nodes := w.config.Nodes(); nodes > 0 {
+		return w.config.Slack / float64(nodes)
+	}
+	return 0
+}
+
+// hasEarned and hasShare report whether the node may use its whole part of the ratio and of
+// the slack at the given time.
+func (w *Window) hasEarned(at time.Time) bool { return !at.Before(w.config.EarnedFrom()) }
+func (w *Window) hasShare(at time.Time) bool  { return !at.Before(w.config.SharedFrom()) }
+
 // totals returns the numbers of first sends and repeated sends within the window.
 func (c *counts) totals() (started, repeated int) {
 	for i := range c.started {
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -115,3 +115,150 @@
 	check.Equal(strings.Count(log.String(), `msg="retry budget used up" service=svc started=0 repeated=4 limit=4.25 nodes=4`), 2)
 	check.Equal(strings.Count(log.String(), "\n"), 2)
 }
+
+// repeatBound checks repeated sends against the bound of a service.
+type repeatBound struct {
+	ratio, slack float64
+	window       time.Duration
+
+	started, repeated []time.Time
+}
+
+// check fails if a window has more repeated sends than its requests, or those of a window
+// before it that the platform counts as well, allow.
+func (b *repeatBound) check(t *rapid.T) {
+	for _, at := range b.repeated {
+		repeats := countWithin(b.repeated, at, b.window)
+		requests := max(countWithin(b.started, at, b.window), countWithin(b.started, at.Add(-b.window), b.window), countWithin(b.started, at.Add(-b.window/2), b.window))
+		if float64(repeats) > b.ratio*float64(requests)+b.slack {
+			t.Fatalf("%d repeats for %d requests", repeats, requests)
+		}
+	}
+}
+
+// Guards against nodes that use their limit once more after each restart.
+func TestWindowLimitsRepeatsOfRestartedNodes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := &repeatBound{
+			ratio:  0.2,
+			slack:  58,
+			window: 10 * time.Second,
+		}
+		now := time.Unix(1000, 0)
+		nodes := make([]*retry.Window, rapid.IntRange(1, 9).Draw(t, "nodes"))
+		start := func(i int, from time.Time) {
+			nodes[i] = retry.NewWindow(retry.WindowConfig{
+				Ratio:      bound.ratio,
+				Slack:      bound.slack,
+				Window:     bound.window,
+				Nodes:      func() int { return len(nodes) },
+				EarnedFrom: func() time.Time { return from },
+				SharedFrom: func() time.Time { return from },
+				Now:        func() time.Time { return now },
+			})
+		}
+		for i := range nodes {
+			start(i, now)
+		}
+		for range rapid.IntRange(100, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+			if rapid.IntRange(0, 20).Draw(t, "restarts") == 0 {
+				for i := range nodes {
+					if rapid.Bool().Draw(t, "restarted") {
+						start(i, now.Add(bound.window))
+					}
+				}
+			}
+			node := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+			node.Started("svc")
+			bound.started = append(bound.started, now)
+			for node.AllowRetry("svc") {
+				bound.repeated = append(bound.repeated, now)
+			}
+		}
+		bound.check(t)
+	})
+}
+
+// Guards against nodes that use a share of the slack that the others do not leave to them yet.
+func TestWindowLimitsRepeatsWhileNodesJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const noticedAfter = 6 * time.Second
+		bound := &repeatBound{
+			ratio:  0.2,
+			slack:  58,
+			window: 10 * time.Second,
+		}
+		now := time.Unix(1000, 0)
+		var nodes []*retry.Window
+		var joined []time.Time
+		join := func(sharedFrom time.Time) {
+			self := now
+			joined = append(joined, self)
+			nodes = append(nodes, retry.NewWindow(retry.WindowConfig{
+				Ratio:  bound.ratio,
+				Slack:  bound.slack,
+				Window: bound.window,
+				Nodes: func() int {
+					count := 0
+					for _, at := range joined {
+						if at.Equal(self) || !now.Before(at.Add(noticedAfter)) {
+							count++
+						}
+					}
+					return count
+				},
+				SharedFrom: func() time.Time { return sharedFrom },
+				Now:        func() time.Time { return now },
+			}))
+		}
+		for range rapid.IntRange(1, 5).Draw(t, "nodes") {
+			join(now)
+		}
+		now = now.Add(noticedAfter)
+		for range rapid.IntRange(100, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+			if rapid.IntRange(0, 30).Draw(t, "joins") == 0 {
+				for range rapid.IntRange(1, 5).Draw(t, "joining") {
+					join(now.Add(2 * bound.window))
+				}
+			}
+			node := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+			node.Started("svc")
+			bound.started = append(bound.started, now)
+			for node.AllowRetry("svc") {
+				bound.repeated = append(bound.repeated, now)
+			}
+		}
+		bound.check(t)
+	})
+}
+
+// Guards against a restarted node that does not get its limit back, and against a wait that ends before it does.
+func TestRestartedNodeGetsItsLimitBack(t *testing.T) {
+	check := is.New(t)
+	start := time.Unix(1000, 0)
+	now := start
+	back := func() time.Time { return start.Add(10 * time.Second) }
+	w := retry.NewWindow(retry.WindowConfig{
+		Slack:      20,
+		Window:     10 * time.Second,
+		Nodes:      func() int { return 1 },
+		EarnedFrom: back,
+		SharedFrom: back,
+		Now:        func() time.Time { return now },
+	})
+	wait, ok := w.RetryWait("svc")
+	check.True(ok)
+	check.Equal(wait.Round(time.Millisecond), 5*time.Second) // 0.1 x 20 in 10 s
+	now = now.Add(wait.Round(time.Millisecond))
+	check.True(w.AllowRetry("svc"))
+	wait, ok = w.RetryWait("svc")
+	check.True(ok)
+	check.Equal(now.Add(wait.Round(time.Millisecond)), back())
+	now = back()
+	for range 16 { // 0.85 x 20, less the one that was sent
+		check.True(w.AllowRetry("svc"))
+	}
+	check.True(!w.AllowRetry("svc"))
+}
--- a/roster/retire.go
+++ b/roster/retire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"zinniamast"
@@ -63,13 +64,5 @@
 func (r *Roster) Missing() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.announced || len(r.entries) == 0 {
-		return false
-	}
-	for _, entry := range r.entries {
-		if entry.ID == r.config.ID {
-			return false
-		}
-	}
-	return true
+	return r.announced && len(r.entries) > 0 && !slices.ContainsFunc(r.entries, r.isOwn)
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,9 @@
 	ID            string
 	FailureDomain string
 	Address       string
+	// IsFirstStart means that the whole deployment starts for the first time, so that all
+	// instances announce themselves at once.
+	IsFirstStart bool
 	// Offset returns this instance's time of day minus the store's clock; false
 	// while that is not known.
 	Offset func() (time.Duration, bool)
@@ -52,12 +56,17 @@
 // Roster implements zinniamast.InstanceList.
 type Roster struct {
 	config Config
-	// instances are those of the latest roster.
+	// instances are those of the latest roster, and isListed reports whether this one is
+	// among them.
 	instances atomic.Pointer[[]zinniamast.Instance]
+	isListed  atomic.Bool
 
 	mu        sync.Mutex
 	announced bool
 	entries   []Entry
+	// origin is what the first read of the table told; isRead reports whether it succeeded.
+	origin Origin
+	isRead bool
 
 	// silentSince holds the time since which each silent instance of this failure
 	// domain has been silent; only Retire uses it.
@@ -188,8 +197,67 @@
 	Revision uint64
 }
 
+// Origin tells how this process came into the fleet.
+type Origin string
+
+const (
+	// OriginUnknown means that the table could not be read when the process started.
+	OriginUnknown Origin = "unknown"
+	// OriginFirst means that no instance had been announced before.
+	OriginFirst Origin = "first"
+	// OriginRestarted means that an earlier process of this instance had been announced.
+	OriginRestarted Origin = "restarted"
+	// OriginJoined means that only other instances had been announced.
+	OriginJoined Origin = "joined"
+)
+
+// Origin returns the origin of this process, which its first Read determines.
+func (r *Roster) Origin() Origin {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isRead {
+		return OriginUnknown
+	}
+	return r.origin
+}
+
+// recordOrigin records what the first read of the table tells about this process.
+func (r *Roster) recordOrigin(entries []Entry, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isRead {
+		return
+	}
+	r.isRead = true
+	switch {
+	case err != nil:
+		r.origin = OriginUnknown
+	case slices.ContainsFunc(entries, r.isOwn):
+		r.origin = OriginRestarted
+	case len(entries) == 0 || r.config.IsFirstStart:
+		r.origin = OriginFirst
+	default:
+		r.origin = OriginJoined
+	}
+	r.config.Logger.Info("roster read for the first time", "instance", r.config.ID, "origin", r.origin, "instances", len(entries), "cause", err)
+}
+
+// isOwn reports whether an entry is that of this instance.
+func (r *Roster) isOwn(entry Entry) bool { return entry.ID == r.config.ID }
+
 // Read reads the roster from the table and stores it.
 func (r *Roster) Read(ctx context.Context) ([]Entry, error) {
+	entries, err := r.read(ctx)
+	r.recordOrigin(entries, err)
+	if err != nil {
+		return nil, err
+	}
+	r.Set(entries)
+	return entries, nil
+}
+
+// read reads the roster from the table.
+func (r *Roster) read(ctx context.Context) ([]Entry, error) {
 	items, err := r.config.Table.Query(ctx, Partition, "", listLimit)
 	if err != nil {
 		return nil, fmt.Errorf("roster: %w", err)
@@ -209,7 +277,6 @@
 			Revision:      item.Revision,
 		})
 	}
-	r.Set(entries)
 	return entries, nil
 }
 
@@ -230,11 +297,15 @@
 	r.entries = entries
 	r.mu.Unlock()
 	r.instances.Store(&instances)
+	r.isListed.Store(slices.ContainsFunc(entries, r.isOwn))
 	if r.config.OnOffsets != nil {
 		r.config.OnOffsets(offsets)
 	}
 }
 
+// IsListed reports whether this instance is on the latest roster.
+func (r *Roster) IsListed() bool { return r.isListed.Load() }
+
 // Entries returns the entries of the latest roster.
 func (r *Roster) Entries() []Entry {
 	r.mu.Lock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -125,3 +125,73 @@
 	check.True(!replaced.Missing())
 	check.Equal(readAndRetire("edge-2", "edge-3"), 4)
 }
+
+// Guards against a process that takes itself for the first one of its instance after a restart.
+func TestOriginIsThatOfTheFirstRead(t *testing.T) {
+	check := is.New(t)
+	s := store.New()
+	defer s.Close()
+	table := platform.NewTable(platform.NewStore(s.Address()))
+	process := func(id string, isFirstStart bool) *roster.Roster {
+		return roster.New(roster.Config{
+			Table:        table,
+			ID:           id,
+			IsFirstStart: isFirstStart,
+			Offset:       func() (time.Duration, bool) { return 0, true },
+		})
+	}
+	for _, c := range []struct {
+		id           string
+		isFirstStart bool
+		origin       roster.Origin
+	}{
+		{
+			id:     "edge-1",
+			origin: roster.OriginFirst,
+		},
+		{
+			id:           "edge-2",
+			isFirstStart: true,
+			origin:       roster.OriginFirst,
+		},
+		{
+			id:     "edge-3",
+			origin: roster.OriginJoined,
+		},
+		{
+			id:           "edge-1",
+			isFirstStart: true,
+			origin:       roster.OriginRestarted,
+		},
+	} {
+		r := process(c.id, c.isFirstStart)
+		check.Equal(r.Origin(), roster.OriginUnknown)
+		_, err := r.Read(t.Context())
+		check.NoErr(err)
+		check.Equal(r.IsListed(), c.origin == roster.OriginRestarted)
+		r.Announce(t.Context())
+		_, err = r.Read(t.Context())
+		check.NoErr(err)
+		check.True(r.IsListed())
+		check.Equal(r.Origin(), c.origin)
+	}
+}
+
+// Guards against a process whose first read failed and that takes a later one for it.
+func TestOriginStaysUnknownAfterAFailedRead(t *testing.T) {
+	check := is.New(t)
+	s := store.New()
+	defer s.Close()
+	r := roster.New(roster.Config{
+		Table:  platform.NewTable(platform.NewStore(s.Address())),
+		ID:     "edge-1",
+		Offset: func() (time.Duration, bool) { return 0, true },
+	})
+	failed, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := r.Read(failed)
+	check.True(err != nil)
+	_, err = r.Read(t.Context())
+	check.NoErr(err)
+	check.Equal(r.Origin(), roster.OriginUnknown)
+}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -251,6 +251,7 @@
 ip = "127.0.0.1"
 zone = %q
 seeds = %s
+bootstrap = true
 [zones]
 %s[listen]
 frontend = %q
