Count repeated sends by the steady clock

A service in trouble got more repeated sends than its bound allows after the time of day jumped on the instances, without any restart.

Cause: retry.Window numbered its slots by the time of day. A jump ahead cleared all counts, so that the whole limit could be used once more; a jump back kept them until the time of day had caught up, for up to 40 minutes, and no send could be repeated meanwhile. The slots now follow the time since the window was created, by the steady clock.

The first refusal in a window's first slot is logged now as well.

--- a/retry/wait.go
+++ b/retry/wait.go
@@ -84,19 +84,19 @@
 // expected sends leaves it before the last one. It returns false if the limit stays below
 // the number. The caller holds the lock.
 func (w *Window) expectedWait(c *counts, sends int) (wait time.Duration, ok bool) {
-	now := w.config.Now()
-	rate := c.startRate(now.UnixNano(), int64(w.slotLength()))
+	now := w.now()
+	rate := c.startRate(now, w.slotLength())
 	changes := w.limitChanges(c, now)
 	for i, at := range changes[:len(changes)-1] {
-		started, repeated := c.totalsAfter(w.slotsPassed(c, at))
-		elapsed := at.Sub(now)
-		missing := float64(repeated+sends) - w.limit(float64(started)+rate*elapsed.Seconds(), at)
+		started, repeated := c.totalsAfter(int64(at/w.slotLength()) - c.newest)
+		missing := float64(repeated+sends) - w.limit(float64(started)+rate*(at-now).Seconds(), at)
+		due := at
 		if growth := w.growth(rate, at); missing > 0 && growth > 0 {
-			elapsed += time.Duration(missing / growth * float64(time.Second))
+			due += time.Duration(missing / growth * float64(time.Second))
 			missing = 0
 		}
-		if missing <= 0 && (elapsed == 0 || now.Add(elapsed).Before(changes[i+1])) {
-			return elapsed, true
+		if missing <= 0 && (due == now || due < changes[i+1]) {
+			return due - now, true
 		}
 	}
 	return 0, false
@@ -104,24 +104,19 @@
 
 // limitChanges returns the times from now on at which the limit does not grow steadily: now,
 // the ends of slots, and the times from which the node may use more of its parts.
-func (w *Window) limitChanges(c *counts, now time.Time) []time.Time {
-	changes := []time.Time{now}
+func (w *Window) limitChanges(c *counts, now time.Duration) []time.Duration {
+	changes := []time.Duration{now}
 	for n := int64(1); n <= windowSlots+2; n++ {
-		changes = append(changes, time.Unix(0, (c.newest+n)*int64(w.slotLength())))
+		changes = append(changes, time.Duration(c.newest+n)*w.slotLength())
 	}
-	for _, at := range []time.Time{w.created.Add(w.config.Window), w.config.EarnedFrom(), w.config.SharedFrom()} {
-		if i, found := slices.BinarySearchFunc(changes, at, time.Time.Compare); !found && i > 0 && i < len(changes) {
+	for _, at := range []time.Duration{w.config.Window, w.earnedFrom(), w.sharedFrom()} {
+		if i, found := slices.BinarySearch(changes, at); !found && i > 0 && i < len(changes) {
 			changes = slices.Insert(changes, i, at)
 		}
 	}
 	return changes
 }
 
-// slotsPassed returns the number of slots that have left the window at the given time.
-func (w *Window) slotsPassed(c *counts, at time.Time) int64 {
-	return max(0, at.UnixNano()/int64(w.slotLength())-c.newest)
-}
-
 // totalsAfter returns the totals without the oldest slots, as many as have left the window.
 func (c *counts) totalsAfter(slots int64) (started, repeated int) {
 	started, repeated = c.totals()
@@ -133,7 +128,7 @@
 }
 
 // startRate returns the first sends per second since the oldest one within the window.
-func (c *counts) startRate(now, slotLength int64) float64 {
+func (c *counts) startRate(now, slotLength time.Duration) float64 {
 	started, oldest := 0, c.newest
 	for n := range int64(windowSlots + 1) {
 		if count := *c.startedIn(c.newest - n); count > 0 {
@@ -141,6 +136,6 @@
 			oldest = c.newest - n
 		}
 	}
-	elapsed := max(time.Duration(now-oldest*slotLength), time.Duration(slotLength))
+	elapsed := max(now-time.Duration(oldest)*slotLength, slotLength)
 	return float64(started) / elapsed.Seconds()
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -56,6 +56,9 @@
 // count it already. Until both no longer matter, it uses a small part of the limit, which it
 // earns from its start on, so that a node that is restarted again and again does not use that
 // part each time.
+//
+// All times below are durations since the window was created, by the steady clock: the time of
+// day may jump, and a jump must neither clear the counts nor keep them.
 type Window struct {
 	config  WindowConfig
 	created time.Time
@@ -128,7 +131,7 @@
 	}
 	c.refusedIn = c.newest
 	started, repeated := c.totals()
-	now := w.config.Now()
+	now := w.now()
 	w.config.Logger.Info("retry budget used up", "service", service, "started", started, "repeated", repeated,
 		"limit", w.limit(float64(started), now), "nodes", w.config.Nodes(), "earned", w.hasEarned(now), "shared", w.hasShare(now))
 }
@@ -137,12 +140,15 @@
 // lock.
 func (w *Window) hasRoom(c *counts) bool {
 	started, repeated := c.totals()
-	return float64(repeated+1) <= w.limit(float64(started), w.config.Now())
+	return float64(repeated+1) <= w.limit(float64(started), w.now())
 }
 
+// now returns the current time.
+func (w *Window) now() time.Duration { return w.config.Now().Sub(w.created) }
+
 // limit returns the number of repeated sends that the node may make in a window that ends at
 // the given time and has the given number of first sends.
-func (w *Window) limit(started float64, at time.Time) float64 {
+func (w *Window) limit(started float64, at time.Duration) float64 {
 	limit := earlyFraction * w.config.Ratio * started
 	if w.hasEarned(at) {
 		limit = usableFraction * w.config.Ratio * started
@@ -150,18 +156,18 @@
 	if w.hasShare(at) {
 		return limit + usableFraction*w.slackShare()
 	}
-	age := min(1, float64(at.Sub(w.created))/float64(w.config.Window))
+	age := min(1, float64(at)/float64(w.config.Window))
 	return limit + earlyFraction*age*w.slackShare()
 }
 
 // growth returns by how much the limit grows per second at the given time, if requests
 // start at the given rate.
-func (w *Window) growth(rate float64, at time.Time) float64 {
+func (w *Window) growth(rate float64, at time.Duration) float64 {
 	growth := earlyFraction * w.config.Ratio * rate
 	if w.hasEarned(at) {
 		growth = usableFraction * w.config.Ratio * rate
 	}
-	if !w.hasShare(at) && at.Sub(w.created) < w.config.Window {
+	if !w.hasShare(at) && at < w.config.Window {
 		growth += earlyFraction * w.slackShare() / w.config.Window.Seconds()
 	}
 	return growth
@@ -177,8 +183,11 @@
 
 // hasEarned and hasShare report whether the node may use its whole part of the ratio and of
 // the slack at the given time.
-func (w *Window) hasEarned(at time.Time) bool { return !at.Before(w.config.EarnedFrom()) }
-func (w *Window) hasShare(at time.Time) bool  { return !at.Before(w.config.SharedFrom()) }
+func (w *Window) hasEarned(at time.Duration) bool { return at >= w.earnedFrom() }
+func (w *Window) hasShare(at time.Duration) bool  { return at >= w.sharedFrom() }
+
+func (w *Window) earnedFrom() time.Duration { return w.config.EarnedFrom().Sub(w.created) }
+func (w *Window) sharedFrom() time.Duration { return w.config.SharedFrom().Sub(w.created) }
 
 // totals returns the numbers of first sends and repeated sends within the window.
 func (c *counts) totals() (started, repeated int) {
@@ -191,17 +200,25 @@
 
 // startedIn returns the count of first sends in the slot with a number, and repeatedIn
 // that of repeated sends.
-func (c *counts) startedIn(slot int64) *int  { return &c.started[slot%(windowSlots+1)] }
-func (c *counts) repeatedIn(slot int64) *int { return &c.repeated[slot%(windowSlots+1)] }
+func (c *counts) startedIn(slot int64) *int  { return &c.started[indexOf(slot)] }
+func (c *counts) repeatedIn(slot int64) *int { return &c.repeated[indexOf(slot)] }
+
+// indexOf returns the index of the slot with a number, which is negative before the window
+// was created.
+func indexOf(slot int64) int64 {
+	const slots = windowSlots + 1
+	return (slot%slots + slots) % slots
+}
 
 // counts returns a service's counts after clearing the slots that have expired.
 // The caller holds the lock.
 func (w *Window) counts(service string) *counts {
-	now := w.config.Now().UnixNano() / int64(w.slotLength())
+	now := int64(w.now() / w.slotLength())
 	c, ok := w.services[service]
 	if !ok {
 		c = &counts{
-			newest: now,
+			newest:    now,
+			refusedIn: now - 1,
 		}
 		w.services[service] = c
 	}
