Hand the retry budget of a stopping instance over to its next process

A handover is taken once, and only by the process that follows: it names its process by the revision under which that is on the roster.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -19,7 +19,6 @@
 	"zinniamast/platform"
 	"zinniamast/quarantine"
 	"zinniamast/registry"
-	"zinniamast/retry"
 	"zinniamast/roster"
 	"zinniamast/routing"
 	"zinniamast/scaling"
@@ -52,6 +51,9 @@
 		return err
 	}
 	e.buildThrottle()
+	if err := e.buildRetries(); err != nil {
+		return err
+	}
 	e.buildServers()
 	return nil
 }
@@ -223,25 +225,16 @@
 		FailureDomain: s.FailureDomain,
 		Router:        e.router,
 		Protocol:      platform.Headers{},
-		RetryBudget: retry.NewWindow(retry.WindowConfig{
-			Ratio:  s.Bounds.RetryRatio,
-			Slack:  s.Bounds.RetrySlack,
-			Window: s.Bounds.RetryWindow,
-			Nodes:  e.retryNodes,
-			Logger: e.config.Logger,
-
-			EarnedFrom: e.retriesEarnedFrom,
-			SharedFrom: e.retriesSharedFrom,
-		}),
-		Allowance:  e.allowance,
-		Throttle:   e.throttle,
-		Quarantine: e.quarantine,
-		Meter:      e.usage,
-		Demand:     e.demand,
-		Closing:    e.closing.Load,
-		Stopping:   e.stopping.Load,
-		Logger:     e.config.Logger,
-		Registerer: e.registry,
+		RetryBudget:   e.retries,
+		Allowance:     e.allowance,
+		Throttle:      e.throttle,
+		Quarantine:    e.quarantine,
+		Meter:         e.usage,
+		Demand:        e.demand,
+		Closing:       e.closing.Load,
+		Stopping:      e.stopping.Load,
+		Logger:        e.config.Logger,
+		Registerer:    e.registry,
 	})
 	serving, cancelRequests := context.WithCancelCause(context.Background())
 	e.cancelRequests = cancelRequests
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,6 +32,7 @@
 	"zinniamast/quarantine"
 	"zinniamast/registry"
 	"zinniamast/reports"
+	"zinniamast/retry"
 	"zinniamast/roster"
 	"zinniamast/routes"
 	"zinniamast/scaling"
@@ -115,6 +116,7 @@
 	domainPool   *limits.Pool
 	allowance    *limits.Allowance
 	throttle     *throttle.Throttle
+	retries      *retry.Window
 	quarantine   *quarantine.Quarantine
 	reports      *reports.Sharer
 	usage        *usage.Counter
@@ -284,6 +286,7 @@
 		e.config.Logger.Warn("stop timeout reached; aborting running requests", "cause", err)
 		e.abortRequests()
 	}
+	e.handOverRetries(ctx)
 	e.members.AnnounceDeparture(ctx)
 	if err := e.peerServer.Close(ctx); err != nil {
 		e.config.Logger.Warn("failed to end all calls from peers before closing", "cause", err)
--- a/entry/retry_test.go
+++ b/entry/retry_test.go
@@ -54,6 +54,7 @@
 func (f *rejectingFleet) launchInstance(name string, seeds ...string) {
 	f.t.Helper()
 	f.launchWith(name, func(s *platform.Settings) {
+		s.IsFirstStart = true
 		s.Bounds.RetryRatio = retryRatio
 		s.Bounds.RetrySlack = retrySlack
 		s.Bounds.RetryWindow = retryWindow
@@ -159,3 +160,29 @@
 	f.checkBound()
 	f.store.SetFault(store.Fault{})
 }
+
+// Guards against callers whose requests are not repeated because their instance has been restarted.
+func TestRestartedInstanceGoesOnWithItsRetryBudget(t *testing.T) {
+	f := newRejectingFleet(t)
+	names := []string{"edge-1", "edge-2"}
+	for _, name := range names {
+		f.launchInstance(name)
+	}
+	time.Sleep(2500 * time.Millisecond) // The instances have started for the first time, and know of each other.
+	f.stops["edge-1"]()
+	f.launchInstance("edge-1")
+	time.Sleep(500 * time.Millisecond) // It has taken its budget over.
+	f.load("edge-1", 10)
+	repeats := 0
+	seen := map[string]bool{}
+	for _, r := range f.replicas {
+		for _, run := range r.Runs() {
+			if seen[run.ID] {
+				repeats++
+			}
+			seen[run.ID] = true
+		}
+	}
+	f.is.Equal(repeats, 10) // 0.85 of half of the slack and of 0.2 of 10 requests
+	f.checkBound()
+}
--- a/entry/roster.go
+++ b/entry/roster.go
@@ -27,6 +27,7 @@
 		e.config.Logger.Debug("failed to read roster from store", "cause", err)
 	}
 	e.roster.Announce(ctx)
+	e.takeOverRetries(ctx)
 	for round := 0; ctx.Err() == nil; round++ {
 		if err := e.readRoster(ctx); err != nil {
 			e.config.Logger.Debug("failed to read roster from store", "cause", err)
--- a/retry/window.go
+++ b/retry/window.go
@@ -65,6 +65,10 @@
 
 	mu       sync.Mutex
 	services map[string]*counts
+	// handedOver is set once the sends were handed over, and takenOver once those of the
+	// process before this one were taken over.
+	handedOver bool
+	takenOver  *partTimes
 }
 
 // counts holds a service's first sends and repeated sends by slot of the window.
@@ -139,6 +143,9 @@
 // hasRoom reports whether the limit allows one more repeated send. The caller holds the
 // lock.
 func (w *Window) hasRoom(c *counts) bool {
+	if w.handedOver {
+		return false
+	}
 	started, repeated := c.totals()
 	return float64(repeated+1) <= w.limit(float64(started), w.now())
 }
@@ -186,8 +193,19 @@
 func (w *Window) hasEarned(at time.Duration) bool { return at >= w.earnedFrom() }
 func (w *Window) hasShare(at time.Duration) bool  { return at >= w.sharedFrom() }
 
-func (w *Window) earnedFrom() time.Duration { return w.config.EarnedFrom().Sub(w.created) }
-func (w *Window) sharedFrom() time.Duration { return w.config.SharedFrom().Sub(w.created) }
+func (w *Window) earnedFrom() time.Duration {
+	if w.takenOver != nil {
+		return w.takenOver.earnedFrom
+	}
+	return w.config.EarnedFrom().Sub(w.created)
+}
+
+func (w *Window) sharedFrom() time.Duration {
+	if w.takenOver != nil {
+		return w.takenOver.sharedFrom
+	}
+	return w.config.SharedFrom().Sub(w.created)
+}
 
 // totals returns the numbers of first sends and repeated sends within the window.
 func (c *counts) totals() (started, repeated int) {
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -163,11 +163,21 @@
 		for range rapid.IntRange(100, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
 			if rapid.IntRange(0, 20).Draw(t, "restarts") == 0 {
+				handovers := map[int]retry.Handover{}
 				for i := range nodes {
-					if rapid.Bool().Draw(t, "restarted") {
+					switch rapid.IntRange(0, 2).Draw(t, "restarted") {
+					case 1:
 						start(i, now.Add(bound.window))
+					case 2:
+						handovers[i] = nodes[i].HandOver()
 					}
 				}
+				down := time.Duration(rapid.IntRange(0, 3000).Draw(t, "down")) * time.Millisecond
+				now = now.Add(down)
+				for i, handover := range handovers {
+					start(i, now.Add(bound.window))
+					nodes[i].TakeOver(handover, down)
+				}
 			}
 			node := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
 			node.Started("svc")
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -64,9 +64,11 @@
 	mu        sync.Mutex
 	announced bool
 	entries   []Entry
-	// origin is what the first read of the table told; isRead reports whether it succeeded.
-	origin Origin
-	isRead bool
+	// origin is what the first read of the table told, and isRead reports whether it has
+	// ended. predecessor is the revision of this instance's item in it.
+	origin      Origin
+	isRead      bool
+	predecessor uint64
 
 	// silentSince holds the time since which each silent instance of this failure
 	// domain has been silent; only Retire uses it.
@@ -154,7 +156,7 @@
 	if err != nil {
 		return fmt.Errorf("roster: %w", err)
 	}
-	err = r.write(ctx, value, r.revision())
+	err = r.write(ctx, value, r.Revision())
 	if !errors.Is(err, zinniamast.ErrConflict) {
 		return err
 	}
@@ -175,9 +177,9 @@
 	}})
 }
 
-// revision returns the revision of this instance's item in the latest roster, or
-// zero if it is not listed.
-func (r *Roster) revision() uint64 {
+// Revision returns the revision of this instance's item in the latest roster, or zero
+// if it is not listed.
+func (r *Roster) Revision() uint64 {
 	for _, entry := range r.Entries() {
 		if entry.ID == r.config.ID {
 			return entry.Revision
@@ -221,6 +223,14 @@
 	return r.origin
 }
 
+// Predecessor returns the revision under which the process of this instance before this one
+// announced itself; zero if there was none.
+func (r *Roster) Predecessor() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.predecessor
+}
+
 // recordOrigin records what the first read of the table tells about this process.
 func (r *Roster) recordOrigin(entries []Entry, err error) {
 	r.mu.Lock()
@@ -229,11 +239,13 @@
 		return
 	}
 	r.isRead = true
+	own := slices.IndexFunc(entries, r.isOwn)
 	switch {
 	case err != nil:
 		r.origin = OriginUnknown
-	case slices.ContainsFunc(entries, r.isOwn):
+	case own >= 0:
 		r.origin = OriginRestarted
+		r.predecessor = entries[own].Revision
 	case len(entries) == 0 || r.config.IsFirstStart:
 		r.origin = OriginFirst
 	default:
