Log the software versions of replicas, and callers that resume a stream

A replica now carries the version of its entry, and the lines of a new replica and of a send name it; a send names the stream that it resumes and after which event. No decision changes.

--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -40,6 +40,9 @@
 	// LastEventID is the ID of the last event of the stream that the caller has received;
 	// empty for a new stream.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream;
+	// empty for a new stream, or if the caller does not name it.
+	Resumes string
 }
 
 // Delivery is the metadata that a replica receives with a request.
--- a/forward/send.go
+++ b/forward/send.go
@@ -179,7 +179,7 @@
 	h.config.Demand.AddWork(c.service, choice.Work)
 	h.config.Logger.Info("sending request to replica", "request", c.metadata.ID, "service", c.service, "organisation", c.organisationName(),
 		"config", c.configVersion, "fingerprint", quarantine.Fingerprint(c.fingerprint), "suspect", c.isSuspect, "priority", c.priority, "prompt_tokens", c.metadata.PromptTokens, "replica", choice.Upstream,
-		"failure_domain", upstream.Instance.FailureDomain, "running_here", upstream.Inflight(),
+		"failure_domain", upstream.Instance.FailureDomain, "version", upstream.Instance.Version, "resumes", c.metadata.Resumes, "after", s.lastEvent(c), "running_here", upstream.Inflight(),
 		"predicted_first", choice.FirstToken.Round(time.Millisecond), "cached", choice.CachedTokens, "fetch_from", choice.FetchFrom,
 		"left", time.Until(c.deadline).Round(time.Millisecond))
 	upstream.BeginAttempt()
@@ -223,6 +223,14 @@
 	}
 }
 
+// lastEvent returns the ID of the event after which the send resumes the stream, for the log.
+func (s *send) lastEvent(c *call) string {
+	if s.after == "" {
+		return c.metadata.LastEventID
+	}
+	return s.after
+}
+
 // observe reports an event of a send to the router.
 func (h *Handler) observe(c *call, s *send, kind zinniamast.ObservationKind, elapsed time.Duration, failure zinniamast.Failure, events int) {
 	cachedTokens := zinniamast.UnknownCached
--- a/platform.go
+++ b/platform.go
@@ -170,6 +170,8 @@
 	// Address is the base URL of an upstream, or the host:port of an entry
 	// instance's peer listener.
 	Address string `json:"address"`
+	// Version is the version of the software of an upstream; empty if unknown.
+	Version string `json:"version"`
 	// Leaving means that a stop of the instance is announced.
 	Leaving bool `json:"leaving"`
 	// LeavesAt is the time at which an announced stop takes effect. It is zero if unknown.
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -353,12 +353,13 @@
 			Service:       r.Service,
 			Address:       r.Address,
 			Started:       r.Started,
+			Version:       r.Version,
 		},
 		Replica: f.config.Build(r.ID, r.Address),
 		Slots:   r.Slots,
 	})
 	f.config.Logger.Info("replica added", "replica", r.ID, "service", r.Service,
-		"failure_domain", r.FailureDomain, "draining", r.Draining)
+		"failure_domain", r.FailureDomain, "version", r.Version, "draining", r.Draining)
 }
 
 // markLeaving marks a replica as leaving, so that it takes no new requests. It goes
--- a/registry/source.go
+++ b/registry/source.go
@@ -64,6 +64,8 @@
 	// Reclaimable means that the platform may reclaim the replica, a whole failure
 	// domain at a time.
 	Reclaimable bool
+	// Version is the version of the replica's software; empty if unknown.
+	Version string
 }
 
 // ConfigChange is the newest configuration.
