--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -56,6 +56,8 @@
 	// BreakAfter closes the connection after this many events, in the middle of
 	// the next one; zero means never.
 	BreakAfter int
+	// BreakNew limits BreakAfter to streams that are sent from their start.
+	BreakNew bool
 	// Gap is the time between events.
 	Gap time.Duration
 	// PauseAfter is the number of events after which the stream pauses once, for
@@ -275,7 +277,7 @@
 	flusher, _ := w.(http.Flusher)
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	for i := after + 1; i <= b.Events; i++ {
-		if b.BreakAfter > 0 && i > b.BreakAfter {
+		if b.BreakAfter > 0 && i > b.BreakAfter && (after == 0 || !b.BreakNew) {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: half of", i)
 			flusher.Flush()
 			panic(http.ErrAbortHandler)
