Resume a begun stream only at the software version that began it

Callers got streams that hold events from replicas of two software versions: an instance resumed a stream that its replica broke off at any replica.

Cause: platform dropped the version of a replica's entry, and no choice of a replica knew at which version the request's stream had begun. Class: a property that two replicas must share is not part of what a replica is chosen by.

A request now carries the version of the replica that brought its first event, and Upstream.Accepts is the one place that says whether a replica may get a request; both routers ask it for every choice, and with them retries, takeovers beside a silent replica and waits for a replica. A stream whose version has no replica left ends at once, as unresumable, and its caller is told to start it anew. Prefixes of the KV cache are fetched only from replicas of the same version. Where all replicas have one version nothing changes.

--- a/blackboard/upstreams.go
+++ b/blackboard/upstreams.go
@@ -1,6 +1,7 @@
 package blackboard
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,16 @@
 // Leaving reports whether the replica takes no new requests because it leaves.
 func (u *Upstream) Leaving() bool { return u.leaving.Load() }
 
+// Accepts reports whether the replica may get a request: it is not leaving, the request does
+// not avoid it, and a request that goes on with a stream began at its software version. All
+// ways by which a request changes its replica ask it.
+func (u *Upstream) Accepts(request *zinniamast.RouteRequest) bool {
+	if u.Leaving() || request.Resumes && request.Version != u.Instance.Version {
+		return false
+	}
+	return !slices.Contains(request.Avoid, u.Instance.ID)
+}
+
 // LeavesAt returns the time at which the replica goes away, or the zero time if that
 // is unknown.
 func (u *Upstream) LeavesAt() time.Time {
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -144,6 +144,9 @@
 			h.recordStart(c, s)
 		}
 		s.silent, c.metSilence, c.resumeWaits = false, false, 0
+		if !a.begun {
+			h.recordOrigin(c, s.upstream)
+		}
 		if err := a.writeEvents(events, s.response); err != nil {
 			return upstreamError(s.upstream, zinniamast.FailureStopped, err)
 		}
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -192,6 +192,10 @@
 	// isSuspect reports whether the request is suspected of crashing its replicas.
 	isSuspect bool
 	prefix    []uint64
+	// resumes reports whether the caller has events of the stream, which a replica of the
+	// software version began.
+	resumes bool
+	version string
 
 	// sendsStarted counts the sends so far. The counts below contain those that have
 	// ended.
--- a/forward/send.go
+++ b/forward/send.go
@@ -69,6 +69,11 @@
 		return to, nil
 	}
 	choice, err := h.config.Router.Route(h.routeRequest(c, avoid))
+	if err != nil {
+		if refusal := h.versionRefusal(c); refusal != nil {
+			return routed{}, refusal
+		}
+	}
 	if err != nil && len(blocked) > 0 {
 		return routed{}, zinniamast.Refuse(zinniamast.ReasonNoCapacity, "the replicas limit their requests").WithRetryAfter(fullRetryAfter)
 	}
@@ -133,6 +138,8 @@
 		BetweenTokensTarget: c.route.PauseTarget,
 		Avoid:               avoid,
 		Alone:               c.isSuspect,
+		Resumes:             c.resumes,
+		Version:             c.version,
 	}
 }
 
--- a/nearest/nearest.go
+++ b/nearest/nearest.go
@@ -5,7 +5,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -92,7 +91,7 @@
 	start := rand.IntN(len(all))
 	for i := range all {
 		u := all[(start+i)%len(all)]
-		if u.Leaving() || slices.Contains(request.Avoid, u.Instance.ID) {
+		if !u.Accepts(request) {
 			continue
 		}
 		load := r.load(u)
--- a/policy.go
+++ b/policy.go
@@ -42,6 +42,10 @@
 	// Alone asks for a replica without other important requests, because this
 	// request is suspected of crashing replicas.
 	Alone bool
+	// Resumes means that the request goes on with a stream that a replica of the software
+	// version Version began. No replica of another version may be chosen.
+	Resumes bool
+	Version string
 }
 
 // Choice is the routing decision for an attempt.
--- a/reason.go
+++ b/reason.go
@@ -53,6 +53,9 @@
 	ReasonMoved            Reason = "moved"
 	ReasonRequestLost      Reason = "request_lost"
 	ReasonCancelled        Reason = "cancelled"
+	// ReasonUnresumable means that a stream cannot go on where it ended, and that the caller
+	// can only start it anew.
+	ReasonUnresumable Reason = "unresumable"
 )
 
 // reasonStatus maps each reason to its HTTP status.
@@ -83,6 +86,7 @@
 	ReasonMoved:            http.StatusServiceUnavailable,
 	ReasonRequestLost:      http.StatusGone,
 	ReasonCancelled:        499,
+	ReasonUnresumable:      http.StatusServiceUnavailable,
 }
 
 // Reasons returns all reasons, so that metrics can initialise a counter for each.
--- a/routing/fetch.go
+++ b/routing/fetch.go
@@ -43,7 +43,7 @@
 	for i := range r.candidates {
 		c := &r.candidates[i]
 		missing := r.candidates[source].cachedTokens - c.cachedTokens
-		if missing < minFetchTokens {
+		if missing < minFetchTokens || !c.replica.sharesCache(r.candidates[source].replica) {
 			continue
 		}
 		c.fetchSource = r.candidates[source].replica
@@ -67,7 +67,7 @@
 	var best *candidate
 	for i := range r.candidates {
 		c := &r.candidates[i]
-		if c == chosen || c.rank >= rankSilent || c.cachedTokens == 0 && !c.isHome {
+		if c == chosen || c.rank >= rankSilent || c.cachedTokens == 0 && !c.isHome || !c.replica.sharesCache(chosen.replica) {
 			continue
 		}
 		if best == nil || c.cachedTokens > best.cachedTokens {
--- a/routing/replica.go
+++ b/routing/replica.go
@@ -208,13 +208,10 @@
 
 // usable reports whether the replica may receive the request at all.
 func (p *replica) usable(request *zinniamast.RouteRequest) bool {
-	if p.upstream.Leaving() {
-		return false
-	}
-	for _, id := range request.Avoid {
-		if id == p.id {
-			return false
-		}
-	}
-	return true
+	return p.upstream.Accepts(request)
+}
+
+// sharesCache reports whether two replicas understand each other's KV cache.
+func (p *replica) sharesCache(other *replica) bool {
+	return p.upstream.Instance.Version == other.upstream.Instance.Version
 }
