Know at each instance at which software version a caller's stream began

Callers that came back with Last-Event-Id got the rest of their stream from a replica of any software version: the instance that they reached had never seen the stream, or had been restarted since.

Cause: only the instance that passes a stream on knew its version. Package origin keeps it for all: two other instances, chosen by rendezvous hashing in two failure domains, hold the version of each stream by the ID that callers name in Resumes. An instance that does not know a stream asks at most four, whatever the size of the fleet. If nobody knows, the stream does not go on on a guess: the caller is told at once to start it anew.

Nothing is sent while a service has one version, and has had no other for as long as streams last: each stream began at it. When a second version appears, running and broken streams are told to their holders. Which versions served before a process started it reads from the platform's table, where the holder of the duties writes them when they change, a few writes a rollout. An instance that hears nothing of new replicas asks others before it trusts the only version that it knows.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -54,6 +54,9 @@
 	if err := e.buildRetries(); err != nil {
 		return err
 	}
+	if err := e.buildOrigins(); err != nil {
+		return err
+	}
 	e.buildServers()
 	return nil
 }
@@ -229,6 +232,7 @@
 		Allowance:     e.allowance,
 		Throttle:      e.throttle,
 		Quarantine:    e.quarantine,
+		Origins:       e.origins,
 		Meter:         e.usage,
 		Demand:        e.demand,
 		Closing:       e.closing.Load,
@@ -275,6 +279,7 @@
 	return []func(context.Context){
 		e.reporter.Run,
 		e.scaling.Run,
+		e.versions.Run,
 	}
 }
 
@@ -289,6 +294,8 @@
 		e.allowance.Run,
 		e.usage.Run,
 		e.quarantine.Run,
+		e.origins.Run,
+		e.versions.ReadUntilDone,
 		e.reload,
 		e.runRouter,
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,6 +27,7 @@
 	"zinniamast/lease"
 	"zinniamast/limits"
 	"zinniamast/membership"
+	"zinniamast/origin"
 	"zinniamast/peer"
 	"zinniamast/platform"
 	"zinniamast/quarantine"
@@ -117,6 +118,8 @@
 	allowance    *limits.Allowance
 	throttle     *throttle.Throttle
 	retries      *retry.Window
+	versions     *origin.Versions
+	origins      *origin.Directory
 	quarantine   *quarantine.Quarantine
 	reports      *reports.Sharer
 	usage        *usage.Counter
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"zinniamast"
 	"zinniamast/retry"
 	"zinniamast/roster"
 )
@@ -127,6 +129,9 @@
 	var calls sync.WaitGroup
 	kept := 0
 	for _, keeper := range e.roster.Holders(handover.Instance, maxAskedKeepers) {
+		if keeper.ID == handover.Instance {
+			continue
+		}
 		if member, known := e.board.Members.Get(keeper.ID); kept == retryKeepers || known && (member.Dead || member.Leaving) {
 			continue
 		}
@@ -153,7 +158,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
-	keepers := e.roster.Holders(of.Instance, maxAskedKeepers)
+	keepers := slices.DeleteFunc(e.roster.Holders(of.Instance, maxAskedKeepers), func(keeper zinniamast.Instance) bool {
+		return keeper.ID == of.Instance
+	})
 	answers := make(chan RetryHandover, len(keepers))
 	for _, keeper := range keepers {
 		go func() {
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -202,6 +202,9 @@
 
 // recordAnswer counts and logs a request that a replica has answered.
 func (h *Handler) recordAnswer(a *answer, c *call, upstream *blackboard.Upstream) {
+	if c.resumes {
+		h.config.Origins.Ended(c.stream())
+	}
 	h.metrics.answered.WithLabelValues(statusClass(a.status)).Inc()
 	if a.events > 0 {
 		h.metrics.longestPause.Observe(a.longestPause.Seconds())
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -16,6 +16,7 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/origin"
 	"zinniamast/prefix"
 	"zinniamast/routes"
 )
@@ -70,6 +71,16 @@
 	AddWork(service string, work time.Duration)
 }
 
+// Origins knows at which software version each stream began.
+type Origins interface {
+	// Began records that a replica of a software version began a stream, or went on with it.
+	Began(service, stream, version string)
+	// Ended forgets a stream whose caller has received all of it.
+	Ended(stream string)
+	// Find returns the software version at which a stream began; false if it is not known.
+	Find(ctx context.Context, service, stream string) (version string, ok bool)
+}
+
 // Config configures a Handler.
 type Config struct {
 	Routes    *routes.Table
@@ -82,8 +93,10 @@
 	Allowance     Allowance
 	Throttle      Throttle
 	Quarantine    zinniamast.Quarantine
-	Meter         Meter
-	Demand        Demand
+	// Origins are the origins of streams; nil means that this node alone serves them.
+	Origins Origins
+	Meter   Meter
+	Demand  Demand
 	// Closing reports whether the node is stopping and refuses new requests.
 	Closing func() bool
 	// Stopping reports whether the node is about to stop. Each connection is then
@@ -102,6 +115,11 @@
 
 // New returns a handler.
 func New(config Config) *Handler {
+	if config.Origins == nil {
+		config.Origins = origin.New(origin.Config{
+			Upstreams: config.Upstreams,
+		})
+	}
 	return &Handler{
 		config:  config,
 		metrics: newMetrics(config.Registerer),
@@ -137,6 +155,9 @@
 	if refusal == nil {
 		refusal = h.readBody(w, r, c)
 	}
+	if refusal == nil {
+		refusal = h.findOrigin(r.Context(), c)
+	}
 	if refusal == nil {
 		refusal = h.allow(c)
 	}
--- /dev/null
+++ b/origin/origin.go
@@ -0,0 +1,311 @@
+// Package origin remembers the software version of the replica that began each stream. What
+// two versions write does not fit together, so a stream goes on only at its own version,
+// also at an instance that never saw it.
+package origin
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+)
+
+const (
+	// retention is how long an origin is kept. It exceeds the time in which a caller resumes
+	// a stream.
+	retention = time.Minute
+	// maxOrigins bounds the origins that one instance keeps.
+	maxOrigins = 100_000
+	// holderCount is the number of instances that hold an origin, and maxAskedHolders how
+	// many are asked for it: not all instances know the same ones.
+	holderCount     = 2
+	maxAskedHolders = 2 * holderCount
+	// findTimeout bounds asking the holders, and putTimeout telling them.
+	findTimeout = 250 * time.Millisecond
+	putTimeout  = time.Second
+	// flushInterval is how long origins are collected before they are sent to their holders.
+	flushInterval = 20 * time.Millisecond
+	// observeInterval is the interval at which the versions of all replicas are recorded.
+	observeInterval = 250 * time.Millisecond
+)
+
+// Config configures a Directory.
+type Config struct {
+	Upstreams *blackboard.Upstreams
+	// Versions are the versions that have served; nil means those that Upstreams has had
+	// since the directory was created.
+	Versions *Versions
+	// Holders returns up to count other instances that hold the origin of a stream, the
+	// first one first; nil means none.
+	Holders func(stream string, count int) []zinniamast.Instance
+	// Put tells an instance the origins that it holds, and Find asks it for one.
+	Put  func(ctx context.Context, address string, origins []Origin) error
+	Find func(ctx context.Context, address string, query Query) (Answer, error)
+	// IsFresh reports whether Upstreams has heard of the newest replicas; nil means always.
+	IsFresh func() bool
+	// Logger logs holders that do not answer; nil means slog's default.
+	Logger *slog.Logger
+}
+
+// Origin is the software version at which a stream of a service began.
+type Origin struct {
+	Service string
+	// Stream is the ID of the caller's attempt that brought the first event.
+	Stream  string
+	Version string
+}
+
+// Query asks for the origin of a stream.
+type Query struct {
+	Service string
+	Stream  string
+}
+
+// Answer is the version at which a stream began, if it is known.
+type Answer struct {
+	Version string
+	IsKnown bool
+	// IsStale means that it is the only version that the instance knows, which may not have
+	// heard of a newer one.
+	IsStale bool
+}
+
+// Directory keeps the origins of this instance's streams, and of those that it holds for
+// other instances.
+//
+// An origin is told to its holders only while the service has several versions. If it has
+// had one version for as long as streams last, each stream began at it, and neither the
+// streams nor their resumption cost a call.
+type Directory struct {
+	config Config
+
+	mu sync.Mutex
+	// own holds the streams that this instance passes on or that broke off here, and held
+	// those that it holds for others.
+	own  map[string]record
+	held map[string]record
+	// queued holds the origins that are to be sent, by the address of the holder.
+	queued map[string][]Origin
+	wake   chan struct{}
+}
+
+// record is an origin that is kept until it expires.
+type record struct {
+	origin  Origin
+	expires time.Time
+	// isTold reports whether the holders were told.
+	isTold bool
+}
+
+// New returns an empty directory.
+func New(config Config) *Directory {
+	if config.Versions == nil {
+		config.Versions = NewVersions(VersionsConfig{
+			Upstreams:    config.Upstreams,
+			IsFirstStart: func() bool { return true },
+		})
+	}
+	if config.Holders == nil {
+		config.Holders = func(string, int) []zinniamast.Instance { return nil }
+	}
+	if config.IsFresh == nil {
+		config.IsFresh = func() bool { return true }
+	}
+	if config.Logger == nil {
+		config.Logger = slog.Default()
+	}
+	return &Directory{
+		config: config,
+		own:    map[string]record{},
+		held:   map[string]record{},
+		queued: map[string][]Origin{},
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+// Began records that a replica of a software version began a stream, or went on with it.
+func (d *Directory) Began(service, stream, version string) {
+	isSole := d.config.Versions.hasOne(service)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	put(d.own, Origin{
+		Service: service,
+		Stream:  stream,
+		Version: version,
+	})
+	if !isSole {
+		d.tell(stream)
+	}
+}
+
+// Ended forgets a stream of this instance, whose caller has received all of it.
+func (d *Directory) Ended(stream string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.own, stream)
+}
+
+// Hold keeps origins for other instances.
+func (d *Directory) Hold(origins []Origin) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, origin := range origins {
+		put(d.held, origin)
+	}
+}
+
+// put keeps an origin. A full map loses those that have expired, and then arbitrary ones.
+func put(records map[string]record, origin Origin) {
+	now := time.Now()
+	if len(records) >= maxOrigins {
+		dropped := 0
+		for stream, r := range records {
+			if now.After(r.expires) || dropped < maxOrigins/10 {
+				delete(records, stream)
+				dropped++
+			}
+		}
+	}
+	records[origin.Stream] = record{
+		origin:  origin,
+		expires: now.Add(retention),
+	}
+}
+
+// Answer returns what this instance knows of the origin of a stream without asking others.
+func (d *Directory) Answer(query Query) Answer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, records := range []map[string]record{d.own, d.held} {
+		if r, ok := records[query.Stream]; ok && r.origin.Service == query.Service && time.Now().Before(r.expires) {
+			return Answer{
+				Version: r.origin.Version,
+				IsKnown: true,
+			}
+		}
+	}
+	version, ok := d.config.Versions.Sole(query.Service)
+	return Answer{
+		Version: version,
+		IsKnown: ok,
+		IsStale: ok && !d.config.IsFresh(),
+	}
+}
+
+// Find returns the software version at which a stream began. It returns false if neither
+// this instance nor the holders of the origin know it.
+//
+// While nobody hears of new replicas, as in an outage of the platform's store, the only
+// version that this instance and a holder know is the one.
+func (d *Directory) Find(ctx context.Context, service, stream string) (version string, ok bool) {
+	query := Query{
+		Service: service,
+		Stream:  stream,
+	}
+	own := d.Answer(query)
+	if own.IsKnown && !own.IsStale {
+		return own.Version, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	holders := d.config.Holders(stream, maxAskedHolders)
+	answers := make(chan Answer, len(holders))
+	for _, holder := range holders {
+		go func() {
+			answer, err := d.config.Find(ctx, holder.Address, query)
+			if err != nil {
+				d.config.Logger.Debug("holder of a stream's origin failed", "peer", holder.ID, "cause", err)
+			}
+			answers <- answer
+		}()
+	}
+	isConfirmed := len(holders) == 0
+	for range holders {
+		answer := <-answers
+		if answer.IsKnown && !answer.IsStale {
+			return answer.Version, true
+		}
+		isConfirmed = isConfirmed || answer.IsStale && answer.Version == own.Version
+	}
+	if !own.IsKnown || !isConfirmed {
+		return "", false
+	}
+	return own.Version, true
+}
+
+// tell queues the origin of a stream of this instance for its holders. The caller holds the
+// lock.
+func (d *Directory) tell(stream string) {
+	r := d.own[stream]
+	r.isTold = true
+	d.own[stream] = r
+	for _, holder := range d.config.Holders(stream, holderCount) {
+		d.queued[holder.Address] = append(d.queued[holder.Address], r.origin)
+	}
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends origins to their holders until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	ticker := time.NewTicker(observeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.wake:
+			select {
+			case <-time.After(flushInterval):
+			case <-ctx.Done():
+				return
+			}
+			d.flush(ctx)
+		case <-ticker.C:
+			d.config.Versions.Observe()
+			d.refresh()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// refresh forgets what has expired, and tells the origins of the streams that began before
+// their service had several versions.
+func (d *Directory) refresh() {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, records := range []map[string]record{d.own, d.held} {
+		for stream, r := range records {
+			if now.After(r.expires) {
+				delete(records, stream)
+			}
+		}
+	}
+	for stream, r := range d.own {
+		if !r.isTold && !d.config.Versions.hasOne(r.origin.Service) {
+			d.tell(stream)
+		}
+	}
+}
+
+// flush sends the queued origins, all holders at once.
+func (d *Directory) flush(ctx context.Context) {
+	d.mu.Lock()
+	queued := d.queued
+	d.queued = map[string][]Origin{}
+	d.mu.Unlock()
+	for address, origins := range queued {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, putTimeout)
+			defer cancel()
+			if err := d.config.Put(ctx, address, origins); err != nil {
+				d.config.Logger.Debug("failed to tell the origins of streams", "peer", address, "cause", err)
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/origin/origin_test.go
@@ -0,0 +1,345 @@
+package origin_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+	"zinniamast/origin"
+	"zinniamast/roster"
+)
+
+// fleet is a fleet of directories that call each other in memory.
+type fleet struct {
+	check     *is.I
+	upstreams *blackboard.Upstreams
+	table     *memoryTable
+	nodes     []*node
+	// puts and finds count the calls between nodes.
+	mu          sync.Mutex
+	puts, finds int
+}
+
+// node is an instance of a fleet.
+type node struct {
+	*origin.Directory
+	roster *roster.Roster
+	// isGone means that no call reaches the node or leaves it, and isStale that it hears of no
+	// new replicas.
+	isGone, isStale atomic.Bool
+}
+
+var errGone = errors.New("instance is gone")
+
+func newFleet(t *testing.T, size int, versions ...string) *fleet {
+	f := &fleet{
+		check:     is.New(t),
+		upstreams: blackboard.NewUpstreams(),
+		table: &memoryTable{
+			items: map[zinniamast.Key]zinniamast.Item{},
+		},
+	}
+	for i, version := range versions {
+		f.addReplica(fmt.Sprint("i-", i), version)
+	}
+	var entries []roster.Entry
+	for i := range size {
+		entries = append(entries, roster.Entry{
+			ID:            fmt.Sprint("edge-", i),
+			FailureDomain: fmt.Sprint("domain-", i%4),
+			Address:       fmt.Sprint(i),
+		})
+	}
+	for _, entry := range entries {
+		n := &node{
+			roster: roster.New(roster.Config{
+				ID:     entry.ID,
+				Logger: slog.New(slog.DiscardHandler),
+			}),
+		}
+		n.roster.Set(entries)
+		n.Directory = f.newDirectory(n, f.newVersions(true))
+		f.nodes = append(f.nodes, n)
+		go n.Run(t.Context())
+	}
+	return f
+}
+
+func (f *fleet) newVersions(isFirstStart bool) *origin.Versions {
+	return origin.NewVersions(origin.VersionsConfig{
+		Upstreams:    f.upstreams,
+		Table:        f.table,
+		IsFirstStart: func() bool { return isFirstStart },
+		Check:        func(time.Duration) (uint64, error) { return 1, nil },
+		Logger:       slog.New(slog.DiscardHandler),
+	})
+}
+
+func (f *fleet) newDirectory(n *node, versions *origin.Versions) *origin.Directory {
+	return origin.New(origin.Config{
+		Upstreams: f.upstreams,
+		Versions:  versions,
+		Holders: func(stream string, count int) []zinniamast.Instance {
+			isSelf := func(instance zinniamast.Instance) bool { return n == f.at(instance.Address) }
+			others := slices.DeleteFunc(n.roster.Holders(stream, count+1), isSelf)
+			return others[:min(count, len(others))]
+		},
+		Put: func(_ context.Context, address string, origins []origin.Origin) error {
+			f.mu.Lock()
+			f.puts++
+			f.mu.Unlock()
+			if n.isGone.Load() || f.at(address).isGone.Load() {
+				return errGone
+			}
+			f.at(address).Hold(origins)
+			return nil
+		},
+		Find: func(_ context.Context, address string, query origin.Query) (origin.Answer, error) {
+			f.mu.Lock()
+			f.finds++
+			f.mu.Unlock()
+			if f.at(address).isGone.Load() {
+				return origin.Answer{}, errGone
+			}
+			return f.at(address).Answer(query), nil
+		},
+		IsFresh: func() bool { return !n.isStale.Load() },
+		Logger:  slog.New(slog.DiscardHandler),
+	})
+}
+
+// at returns the node with an address.
+func (f *fleet) at(address string) *node {
+	i := 0
+	_, err := fmt.Sscan(address, &i)
+	f.check.NoErr(err)
+	return f.nodes[i]
+}
+
+func (f *fleet) addReplica(id, version string) {
+	f.upstreams.Add(&blackboard.Upstream{
+		Instance: zinniamast.Instance{
+			ID:      id,
+			Service: "svc",
+			Version: version,
+			Started: time.UnixMilli(1),
+		},
+	})
+}
+
+// find returns the version of a stream that a node finds; empty if it finds none.
+func (f *fleet) find(n *node, stream string) string {
+	version, ok := n.Find(context.Background(), "svc", stream)
+	f.check.Equal(ok, version != "")
+	return version
+}
+
+// putCount and findCount return the number of calls between nodes.
+func (f *fleet) putCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.puts
+}
+
+func (f *fleet) findCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.finds
+}
+
+// memoryTable is a table with one partition.
+type memoryTable struct {
+	mu       sync.Mutex
+	items    map[zinniamast.Key]zinniamast.Item
+	revision uint64
+	writes   int
+}
+
+func (m *memoryTable) Get(_ context.Context, key zinniamast.Key) (zinniamast.Item, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if item, ok := m.items[key]; ok {
+		return item, nil
+	}
+	return zinniamast.Item{}, zinniamast.ErrNotFound
+}
+
+func (m *memoryTable) Query(context.Context, string, string, int) ([]zinniamast.Item, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []zinniamast.Item
+	for _, item := range m.items {
+		all = append(all, item)
+	}
+	return all, nil
+}
+
+func (m *memoryTable) Write(_ context.Context, writes []zinniamast.Write) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, w := range writes {
+		if m.items[w.Item.Key].Revision != w.Expect {
+			return zinniamast.ErrConflict
+		}
+	}
+	m.writes++
+	for _, w := range writes {
+		m.revision++
+		w.Item.Revision = m.revision
+		m.items[w.Item.Key] = w.Item
+	}
+	return nil
+}
+
+// writeCount returns the number of successful writes.
+func (m *memoryTable) writeCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes
+}
+
+// Guards against a stream whose version is lost with the instance that passed it on.
+func TestOriginOutlastsItsInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, "v1", "v2")
+		first := f.nodes[0]
+		first.Began("svc", "r-1", "v1")
+		first.Began("svc", "r-2", "v2")
+		time.Sleep(100 * time.Millisecond)
+		first.isGone.Store(true)
+		for _, n := range f.nodes[1:] {
+			f.check.Equal(f.find(n, "r-1"), "v1")
+			f.check.Equal(f.find(n, "r-2"), "v2")
+		}
+	})
+}
+
+// Guards against a stream that goes on at a version that was guessed.
+func TestUnknownOriginIsNotGuessed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, "v1", "v2")
+		f.nodes[0].Began("svc", "r-1", "v1")
+		f.nodes[0].isGone.Store(true) // before the holders were told
+		time.Sleep(100 * time.Millisecond)
+		for _, n := range f.nodes[1:] {
+			f.check.Equal(f.find(n, "r-1"), "")
+		}
+	})
+}
+
+// Guards against a cost for streams of a service that has one version.
+func TestOneVersionCostsNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, "v1", "v1")
+		f.nodes[0].Began("svc", "r-1", "v1")
+		time.Sleep(time.Second)
+		f.nodes[0].isGone.Store(true)
+		f.check.Equal(f.find(f.nodes[1], "r-1"), "v1")
+		f.check.Equal(f.putCount(), 0)
+		f.check.Equal(f.findCount(), 0)
+	})
+}
+
+// Guards against streams that began before a rollout and whose version is not known in it.
+func TestOriginsAreToldWhenARolloutBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, "v1")
+		first := f.nodes[0]
+		first.Began("svc", "r-1", "v1")
+		first.Began("svc", "r-2", "v1")
+		first.Ended("r-2")
+		time.Sleep(time.Second)
+		f.addReplica("i-new", "v2")
+		time.Sleep(time.Second)
+		first.isGone.Store(true)
+		f.check.Equal(f.find(f.nodes[1], "r-1"), "v1")
+		f.check.True(f.putCount() <= 2)
+	})
+}
+
+// Guards against a search that asks each of many instances.
+func TestFewInstancesAreAskedForAnOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 370, "v1", "v2")
+		f.nodes[0].Began("svc", "r-1", "v1")
+		time.Sleep(100 * time.Millisecond)
+		f.check.Equal(f.putCount(), 2)
+		f.nodes[0].isGone.Store(true)
+		f.check.Equal(f.find(f.nodes[200], "r-1"), "v1")
+		f.check.True(f.findCount() <= 4)
+	})
+}
+
+// Guards against an instance that takes the only version that it knows for that of each stream, although others know of a newer one.
+func TestStaleInstanceAsksOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, "v1", "v2")
+		stale := f.nodes[1]
+		stale.isStale.Store(true)
+		upstreams := f.upstreams
+		f.upstreams = blackboard.NewUpstreams()
+		f.addReplica("i-0", "v1")
+		stale.Directory = f.newDirectory(stale, f.newVersions(true))
+		f.upstreams = upstreams
+		f.nodes[0].Began("svc", "r-1", "v2")
+		time.Sleep(100 * time.Millisecond)
+		f.check.Equal(f.find(stale, "r-1"), "v2")
+		f.check.Equal(f.find(stale, "r-unknown"), "")
+	})
+}
+
+// Guards against streams that end in an outage of the store, in which no instance hears of new replicas.
+func TestStreamsGoOnWhileNobodyHearsOfReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, "v1")
+		for _, n := range f.nodes {
+			n.isStale.Store(true)
+		}
+		f.check.Equal(f.find(f.nodes[1], "r-1"), "v1")
+	})
+}
+
+// Guards against a process that takes the version that it sees for the only one, although another one served before it started.
+func TestVersionsBeforeTheStartAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, "v1", "v2")
+		writer := f.newVersions(true)
+		go writer.Run(t.Context())
+		go f.newDirectory(f.nodes[0], writer).Run(t.Context())
+		time.Sleep(2 * time.Second)
+		f.check.Equal(f.table.writeCount(), 1)
+		f.upstreams.Remove("i-0")
+
+		started := f.newVersions(false)
+		isSole := func() bool {
+			_, ok := started.Sole("svc")
+			return ok
+		}
+		f.check.True(!isSole()) // not read yet
+		f.check.NoErr(started.Read(t.Context()))
+		f.check.True(!isSole()) // v1 has served until a moment ago
+		time.Sleep(2 * time.Minute)
+		started.Observe()
+		version, ok := started.Sole("svc")
+		f.check.True(ok)
+		f.check.Equal(version, "v2")
+
+		later := f.newVersions(false)
+		f.check.NoErr(later.Read(t.Context()))
+		version, ok = later.Sole("svc")
+		f.check.True(ok)
+		f.check.Equal(version, "v2")
+		f.check.True(f.table.writeCount() <= 3)
+	})
+}
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -54,6 +54,8 @@
 	config FollowerConfig
 	// ready is set once the replicas are known, from the store or a peer.
 	ready atomic.Bool
+	// heardAt is when the source last answered for the replicas.
+	heardAt atomic.Pointer[time.Time]
 	// seeds holds a peer's replicas, for a node that cannot reach the store.
 	seeds chan ReplicaChanges
 
@@ -90,6 +92,12 @@
 // Ready reports whether replicas and a configuration are known.
 func (f *Follower) Ready() bool { return f.ready.Load() && f.config.Routes.Current() != nil }
 
+// HasHeard reports whether the source has answered for the replicas within the given time.
+func (f *Follower) HasHeard(within time.Duration) bool {
+	at := f.heardAt.Load()
+	return at != nil && time.Since(*at) <= within
+}
+
 // Seed passes a peer's replicas to a follower that has not reached the store yet.
 //
 // A node that starts while the store is down would otherwise refuse every request
@@ -256,6 +264,8 @@
 			feed.position, feed.hasPosition = max(feed.position, changes.Position), true
 			f.applyReplicas(changes, whole, feed.afterOutage)
 			f.ready.Store(true)
+			now := time.Now()
+			f.heardAt.Store(&now)
 			f.peerFeed.advanceReplicas(feed.position, whole)
 		}
 		f.applySeed()
--- a/roster/holders.go
+++ b/roster/holders.go
@@ -9,8 +9,8 @@
 	"zinniamast"
 )
 
-// Holders returns up to count other instances that hold something under a key for all
-// instances, the first one first. Each failure domain has one before any has two, so that
+// Holders returns up to count instances that hold something under a key for all instances,
+// the first one first; this one may be among them. Each failure domain has one before any has two, so that
 // the loss of a domain does not take them all. Instances with the same roster choose the
 // same ones.
 func (r *Roster) Holders(key string, count int) []zinniamast.Instance {
@@ -23,12 +23,10 @@
 	seed := xxh3.HashString(key)
 	var all []ranked
 	for _, instance := range r.Instances() {
-		if instance.ID != r.config.ID {
-			all = append(all, ranked{
-				instance: instance,
-				rank:     xxh3.HashStringSeed(instance.ID, seed),
-			})
-		}
+		all = append(all, ranked{
+			instance: instance,
+			rank:     xxh3.HashStringSeed(instance.ID, seed),
+		})
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	rounds := map[string]int{}
