Resume answers of the own interface only at the software version that began them

A request keeps the version of the replica that produced its first tokens, also in the copy that another node takes over, and every choice asks Upstream.Accepts. If no replica of that version is left, the answer ends after a second as unresumable instead of waiting until its deadline.

TestAnswerGoesOnAtItsVersion (cut short, resumed, moved) and TestAnswerOfAVersionThatIsGoneEndsSoon failed before and pass now, 10 plays each.

--- a/attempt/move.go
+++ b/attempt/move.go
@@ -116,11 +116,13 @@
 	return mayStart && r.succeed(f, order)
 }
 
-// availableTarget returns the target of a move if it has one that accepts requests, or
+// availableTarget returns the target of a move if it has one that accepts the request, or
 // nil.
-func (r *Runner) availableTarget(order *moveOrder) *blackboard.Upstream {
+func (r *Runner) availableTarget(p *progress, order *moveOrder) *blackboard.Upstream {
+	routeRequest := r.routeRequest(p, false)
+	routeRequest.Avoid = nil // The target was chosen for the move.
 	upstream := r.config.Board.Upstreams.Get(order.target)
-	if upstream == nil || upstream.Leaving() {
+	if upstream == nil || !upstream.Accepts(routeRequest) {
 		return nil
 	}
 	return upstream
--- a/attempt/retry.go
+++ b/attempt/retry.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"zinniamast"
+	"zinniamast/blackboard"
 )
 
 // waitForRoute decides what follows when routing finds no upstream. A request
@@ -17,12 +19,24 @@
 	p.routeRefusals++
 	// A replica that failed once may be the only one that remains.
 	p.avoid = nil
+	if p.routeRefusals > maxRouteRefusals && r.isVersionGone(p) {
+		return r.giveUp(p, zinniamast.Refuse(zinniamast.ReasonUnresumable,
+			"no replica of the software version that began the answer is left; send the request anew").WithRan(p.ran))
+	}
 	if !p.reclaimed && p.routeRefusals > maxRouteRefusals {
 		return r.giveUp(p, refusal.WithRan(p.ran))
 	}
 	return r.pause(ctx, p, routeRetryInterval)
 }
 
+// isVersionGone reports whether an answer has begun at a software version that no replica
+// has any more.
+func (r *Runner) isVersionGone(p *progress) bool {
+	version, hasBegun := p.request.Version()
+	hasVersion := func(u *blackboard.Upstream) bool { return u.Instance.Version == version }
+	return hasBegun && !slices.ContainsFunc(r.config.Board.Upstreams.Of(p.request.Call.Model), hasVersion)
+}
+
 // pause waits for the given time and fails the request if its deadline passes
 // first. It reports whether the request can continue.
 func (r *Runner) pause(ctx context.Context, p *progress, wait time.Duration) bool {
--- a/attempt/runner.go
+++ b/attempt/runner.go
@@ -196,12 +196,13 @@
 func (r *Runner) route(p *progress, alone bool) (*blackboard.Upstream, zinniamast.Choice, error) {
 	target := p.target
 	p.target = ""
-	if upstream := r.config.Board.Upstreams.Get(target); upstream != nil && !upstream.Leaving() {
+	routeRequest := r.routeRequest(p, alone)
+	if upstream := r.config.Board.Upstreams.Get(target); upstream != nil && upstream.Accepts(routeRequest) {
 		return upstream, zinniamast.Choice{
 			Upstream: target,
 		}, nil
 	}
-	return r.chooseUpstream(r.routeRequest(p, alone))
+	return r.chooseUpstream(routeRequest)
 }
 
 // chooseUpstream returns the upstream that the router chooses.
@@ -220,6 +221,7 @@
 func (r *Runner) routeRequest(p *progress, alone bool) *zinniamast.RouteRequest {
 	call := &p.request.Call
 	produced, _, _ := p.request.Progress()
+	version, hasBegun := p.request.Version()
 	return &zinniamast.RouteRequest{
 		Request:             call.ID,
 		Service:             call.Model,
@@ -235,6 +237,8 @@
 		BetweenTokensTarget: p.policy.BetweenTokensTarget,
 		Avoid:               r.avoidedReplicas(p, alone),
 		Alone:               alone,
+		Resumes:             hasBegun,
+		Version:             version,
 	}
 }
 
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -86,6 +86,7 @@
 // append adds a chunk to the answer and reports whether the request accepts it. The
 // caller holds f.mu.
 func (f *flight) append(chunk *zinniamast.Chunk) bool {
+	f.request.SetVersion(f.upstream.Instance.Version)
 	if !f.request.Append(f.attempt, chunk.Index, chunk.IDs, chunk.Text) {
 		return false
 	}
--- a/attempt/successor.go
+++ b/attempt/successor.go
@@ -88,7 +88,7 @@
 	var upstream *blackboard.Upstream
 	var choice zinniamast.Choice
 	if order != nil && !alone {
-		upstream = r.availableTarget(order)
+		upstream = r.availableTarget(f.progress, order)
 	}
 	if upstream == nil {
 		var err error
--- a/attempt/version_test.go
+++ b/attempt/version_test.go
@@ -15,7 +15,7 @@
 	standin "zinniamast/standin/engine"
 )
 
-// setVersions starts the engines of a rig anew, the first ones at v1 and as many at v2.
+// setVersions starts the engines of a rig anew, every other one at v2.
 func (g *rig) setVersions() {
 	for i := range g.engines {
 		id := fmt.Sprint("engine-", i)
@@ -32,7 +32,7 @@
 
 // version returns the software version of an engine.
 func (g *rig) version(engine int) string {
-	if engine < len(g.engines)/2 {
+	if engine%2 == 0 {
 		return "v1"
 	}
 	return "v2"
@@ -111,13 +111,16 @@
 		g.setVersions()
 		for i := range 10 {
 			q := g.start(context.Background(), i, 100, 300)
-			time.Sleep(time.Second)
+			time.Sleep(500 * time.Millisecond)
+			_, upstream, _ := q.Progress()
 			g.runner.Release(q)
 			synctest.Wait()
+			g.board.Upstreams.MarkLeaving(upstream, time.Now().Add(time.Minute))
 			next := request.Restore(q.Snapshot())
-			go g.runner.Resume(context.Background(), next, "engine that is gone")
+			go g.runner.Resume(context.Background(), next, upstream)
 			requireWholeAnswer(t, next)
-			g.checkVersions(t, next)
+			is.New(t).Equal(g.checkVersions(t, next), 2)
+			g.board.Upstreams.Readmit(upstream)
 		}
 	})
 }
--- a/request/request.go
+++ b/request/request.go
@@ -95,6 +95,8 @@
 	movedTo  string
 	upstream string
 	attempt  string
+	// version is the software version of the replica that produced the first tokens.
+	version string
 	// resumedTokens is the number of tokens in the buffer when the current attempt
 	// began.
 	resumedTokens int
@@ -257,6 +259,7 @@
 	MovedTo   string              `json:"moved_to"`
 	Upstream  string              `json:"upstream"`
 	Attempt   string              `json:"attempt"`
+	Version   string              `json:"version"`
 	Delivered bool                `json:"delivered"`
 	Epoch     int                 `json:"epoch"`
 	Restarted int                 `json:"restarted"`
@@ -280,6 +283,7 @@
 		MovedTo:   r.movedTo,
 		Upstream:  r.upstream,
 		Attempt:   r.attempt,
+		Version:   r.version,
 		Delivered: r.delivered,
 		Epoch:     r.epoch,
 		Restarted: r.restarted,
@@ -305,6 +309,7 @@
 	r.restarted = s.Restarted
 	r.hops = s.Hops
 	r.delivered = s.Delivered
+	r.version = s.Version
 	switch s.State {
 	case StateWhole:
 		r.finish = s.Finish
@@ -390,6 +395,24 @@
 	return len(r.ids), r.upstream, r.attempt
 }
 
+// SetVersion records the software version of the replica that produces the first tokens. It
+// has no effect once there are some: the answer goes on at the version that began it.
+func (r *Request) SetVersion(version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ids) == 0 {
+		r.version = version
+	}
+}
+
+// Version returns the software version at which the answer goes on; false if it has not
+// begun.
+func (r *Request) Version() (version string, hasBegun bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version, len(r.ids) > 0
+}
+
 // Bytes returns the approximate size of the request in memory.
 func (r *Request) Bytes() int {
 	r.mu.Lock()
