Resume a stream at the service that began it

Callers of a route that is split between services could get the rest of a stream from the other service: the service was chosen by a hash of the ID of the attempt, and each try of a caller has its own. The service is now chosen by the ID that names the stream. A change of the weights in between may still move it. TestResumedStreamStaysAtItsService fails without the change.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -273,7 +273,7 @@
 	if len(table.Organisations) > 0 && !c.route.Anonymous && c.organisation == nil {
 		return c, zinniamast.Refuse(zinniamast.ReasonUnauthorised, "unknown key")
 	}
-	c.service = pickService(c.route, c.metadata.ID)
+	c.service = pickService(c.route, c.stream())
 	if c.service == "" {
 		return c, zinniamast.Refuse(zinniamast.ReasonNoUpstream, "the route has no service").WithRetryAfter(noReplicaRetryAfter)
 	}
@@ -310,7 +310,7 @@
 	return r.Host
 }
 
-// pickService selects a service of the route by a hash of the request ID, in
+// pickService selects a service of the route by a hash of the stream or request ID, in
 // proportion to the weights of the split.
 func pickService(r *routes.Route, id string) string {
 	total := 0
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -25,8 +25,8 @@
 	return nil
 }
 
-// stream returns the ID of the request's stream, which that of the caller's attempt is that
-// brought the first event.
+// stream returns the ID of the request's stream: that of the caller's attempt that brought
+// the first event.
 func (c *call) stream() string {
 	if c.metadata.Resumes != "" {
 		return c.metadata.Resumes
--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -15,9 +16,12 @@
 	"zinniamast/blackboard"
 	"zinniamast/forward"
 	"zinniamast/nearest"
+	"zinniamast/plain"
 	"zinniamast/platform"
 	"zinniamast/quarantine"
 	"zinniamast/retry"
+	"zinniamast/routes"
+	"zinniamast/standin/replica"
 	"zinniamast/throttle"
 )
 
@@ -127,3 +131,63 @@
 		})
 	}
 }
+
+// Guards against a stream that a caller resumes at the other service of its route.
+func TestResumedStreamStaysAtItsService(t *testing.T) {
+	f := newFixture(t, 2)
+	config := configuration()
+	config.Version = 2
+	for i := range config.Routes {
+		config.Routes[i].Split = []routes.Share{
+			{
+				Service: "svc",
+				Weight:  50,
+			},
+			{
+				Service: "other",
+				Weight:  50,
+			},
+		}
+	}
+	config.Services["other"] = routes.Service{
+		Name: "other",
+	}
+	f.routes.Apply(config)
+	other := replica.New("i-other")
+	t.Cleanup(other.Close)
+	f.upstreams.Add(&blackboard.Upstream{
+		Instance: zinniamast.Instance{
+			ID:            other.ID,
+			Service:       "other",
+			FailureDomain: "here",
+			Address:       other.Address(),
+			Started:       time.UnixMilli(1),
+		},
+		Replica: plain.New(plain.Config{
+			Upstream: other.ID,
+			Address:  "http://" + other.Address(),
+		}),
+		Slots: 8,
+	})
+	f.setBehaviour(replica.Behaviour{
+		Events: 4,
+	})
+	other.SetBehaviour(replica.Behaviour{
+		Events: 4,
+	})
+	isAtOther := func(id string) bool {
+		return slices.ContainsFunc(other.Runs(), func(run *replica.Run) bool { return run.ID == id })
+	}
+	for i := range 20 {
+		first := fmt.Sprint("r-", i)
+		request := f.request(http.MethodPost, pathResumable, first)
+		request.Header.Set("Zinniamast-Request-Id", first)
+		f.is.Equal(f.do(request).status, http.StatusOK)
+		again := f.request(http.MethodPost, pathResumable, first)
+		again.Header.Set("Zinniamast-Request-Id", "again-"+first)
+		again.Header.Set("Resumes", first)
+		again.Header.Set("Last-Event-Id", "2")
+		f.is.Equal(f.do(again).status, http.StatusOK)
+		f.is.Equal(isAtOther("again-"+first), isAtOther(first))
+	}
+}
