Check repeated sends and software versions in the soak

The soak restarted instances, replaced replicas and never looked at the sum of repeated sends, nor had replicas of two versions. Replaced replicas are now of a second version; callers resume a stream that broke off, once, at any instance, and name it in Resumes. New violations: a stream that goes on at another version than that of the replica whose stamp its answer bears, in one answer or over its caller's tries; and more repeated sends in ten seconds than the requests and the slack allow, over all instances and their processes. No check that stood before is changed.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -31,16 +31,19 @@
 	ended  time.Time
 	// status is zero if there was no response.
 	status int
-	body   string
-	err    error
+	// stamp is that of the replica whose answer it is.
+	stamp string
+	body  string
+	err   error
 }
 
 // callerPool sends requests and records their outcomes.
 type callerPool struct {
 	deployment *deployment
 
-	mu       sync.Mutex
-	outcomes []outcome
+	mu          sync.Mutex
+	outcomes    []outcome
+	resumptions []resumption
 }
 
 // run sends requests until ctx ends.
@@ -61,7 +64,10 @@
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		n := c.deployment.nodes[random.IntN(len(c.deployment.nodes))]
-		c.send(client, n, paths[random.IntN(len(paths))])
+		o := c.send(client, n, paths[random.IntN(len(paths))])
+		if o.path == streamPath && o.err != nil && o.lastEvent() != "" {
+			c.resume(client, random, &o)
+		}
 		time.Sleep(thinkTime)
 	}
 }
@@ -72,7 +78,7 @@
 // requestBody returns the body of the request with this ID.
 func requestBody(id string) string { return "for " + id }
 
-func (c *callerPool) send(client *http.Client, n *node, path string) {
+func (c *callerPool) send(client *http.Client, n *node, path string) outcome {
 	o := outcome{
 		id:     c.deployment.newRequestID(),
 		path:   path,
@@ -83,6 +89,7 @@
 	response, err := c.deployment.send(client, n, o.id, path)
 	if err == nil {
 		o.status = response.StatusCode
+		o.stamp = response.Header.Get("Zinniamast-Server-Stamp")
 		var body []byte
 		body, err = io.ReadAll(response.Body)
 		o.body = string(body)
@@ -93,6 +100,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes = append(c.outcomes, o)
+	return o
 }
 
 // send sends one request to a node.
--- a/soak/check.go
+++ b/soak/check.go
@@ -23,6 +23,10 @@
 	// Unanswered counts the requests that ended without an answer for an acceptable
 	// reason, by that reason.
 	Unanswered map[lossReason]int
+	// Resumed counts the streams that callers resumed, and WentOn those that brought further
+	// events.
+	Resumed int
+	WentOn  int
 	// Cut compares instances that were cut off from all replicas with the others.
 	Cut CutSummary
 	// Violations describes the violated guarantees, one line each.
@@ -63,6 +67,8 @@
 		s.Unanswered[reason]++
 	}
 	c.checkCuts(&s)
+	c.checkVersions(&s)
+	c.deployment.checkRepeats(&s)
 	return s
 }
 
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -31,6 +31,12 @@
 	replicasPerDomain = 3
 )
 
+// The software versions of the replicas: those of the start are replaced by new ones.
+const (
+	oldVersion = "v1"
+	newVersion = "v2"
+)
+
 // deployment is a set of entry instances with simulated replicas and a simulated store.
 type deployment struct {
 	tb       testing.TB
@@ -38,11 +44,14 @@
 	nodes    []*node
 	replicas []*replica.Replica
 	links    []*processtest.Link
+	retries  retryBudget
 	// requestsSent counts the requests that callers have sent.
 	requestsSent atomic.Int64
 
-	// mu guards the fields below, which faults change.
+	// mu guards the fields below, which faults and callers change.
 	mu sync.Mutex
+	// sentAt holds the times at which requests were sent.
+	sentAt []time.Time
 	// version is the version of the newest configuration.
 	version int
 	// locations holds the location of each replica, and removed lists the replicas
@@ -104,10 +113,17 @@
 type location struct {
 	address string
 	domain  string
+	// version is the software version.
+	version string
 }
 
-// newRequestID returns the ID of the next request.
-func (d *deployment) newRequestID() string { return fmt.Sprintf("r-%d", d.requestsSent.Add(1)) }
+// newRequestID returns the ID of the next request, which is sent at once.
+func (d *deployment) newRequestID() string {
+	d.mu.Lock()
+	d.sentAt = append(d.sentAt, time.Now())
+	d.mu.Unlock()
+	return fmt.Sprintf("r-%d", d.requestsSent.Add(1))
+}
 
 // wasSent reports whether a request with this ID was sent.
 func (d *deployment) wasSent(id string) bool {
@@ -153,15 +169,15 @@
 		tb:        tb,
 		store:     store.New(),
 		locations: map[*replica.Replica]location{},
+		retries:   c.retryBudget(),
 	}
 	tb.Cleanup(d.store.Close)
 	d.putNextConfiguration()
 	for i := range replicasPerDomain * len(failureDomains) {
-		d.addReplica(fmt.Sprintf("i-%d", i), failureDomains[i%len(failureDomains)])
+		d.addReplica(fmt.Sprintf("i-%d", i), failureDomains[i%len(failureDomains)], oldVersion)
 	}
 	directory := tb.TempDir()
 	var seeds []string
-	retries := c.retryBudget()
 	for i := range c.Instances {
 		n := &node{
 			name:            fmt.Sprintf("edge-%d", i),
@@ -180,7 +196,7 @@
 			seeds = append(seeds, peer)
 		}
 		text := fmt.Sprintf(settings, n.name, domain, "["+quoted(seeds)+"]", zonesWith(domain),
-			n.frontendAddress, n.readyAddress, peer, retries.ratio, retries.slack, n.storeLink.Address(), d.store.Address())
+			n.frontendAddress, n.readyAddress, peer, d.retries.ratio, d.retries.slack, n.storeLink.Address(), d.store.Address())
 		if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 			tb.Fatal(err)
 		}
@@ -278,7 +294,7 @@
 `
 
 // addReplica starts a replica behind a link and writes its entry to the store.
-func (d *deployment) addReplica(id, domain string) {
+func (d *deployment) addReplica(id, domain, version string) {
 	r := replica.New(id)
 	r.StreamPrefix = "/say/"
 	d.tb.Cleanup(r.Close)
@@ -289,6 +305,7 @@
 	d.locations[r] = location{
 		address: link.Address(),
 		domain:  domain,
+		version: version,
 	}
 	for _, n := range d.nodes {
 		d.addPath(n, r)
@@ -303,11 +320,11 @@
 	at := d.locations[r]
 	d.mu.Unlock()
 	d.store.Put("servers", r.ID, fmt.Appendf(nil,
-		`{"service":"svc","address":%q,"zone":%q,"state":%q,"slots":16,"born":1}`, at.address, at.domain, state))
+		`{"service":"svc","address":%q,"zone":%q,"state":%q,"version":%q,"slots":16,"born":1}`, at.address, at.domain, state, at.version))
 }
 
 // replace marks a replica as draining. The returned function deletes its entry and
-// adds another replica in the same failure domain.
+// adds another replica of the next software version in the same failure domain.
 func (d *deployment) replace(r *replica.Replica) (end func()) {
 	d.mu.Lock()
 	isRemoved := slices.Contains(d.removed, r)
@@ -322,7 +339,7 @@
 		d.removed = append(d.removed, r)
 		next, domain := fmt.Sprintf("i-%d", len(d.replicas)), d.locations[r].domain
 		d.mu.Unlock()
-		d.addReplica(next, domain)
+		d.addReplica(next, domain, newVersion)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,6 +47,7 @@
 			})
 			t.Logf("%d requests, %d served, %d refused, without answer %v; then %d, %d served, without answer %v",
 				faulty.Requests, faulty.Served, faulty.Refused, faulty.Unanswered, calmed.Requests, calmed.Served, calmed.Unanswered)
+			t.Logf("streams that callers resumed: %d, of which %d went on", faulty.Resumed, faulty.WentOn)
 			t.Logf("faults: %v", faulty.Faults)
 			for _, line := range append(faulty.Violations, calmed.Violations...) {
 				t.Error(line)
