Name how a process came into the fleet its arrival, and pass over unreadable versions

Read as a newcomer would: roster.Origin and package origin named two things alike. roster.Origin is Arrival now, also in the log. An item of the table with the versions of a service that cannot be read no longer stops the others from being read; the process then asks the holders of a stream for as long as it would without the table (TestUnreadableVersionsAreNotTakenForNone). No other logic changes.

--- a/entry/origin.go
+++ b/entry/origin.go
@@ -22,7 +22,7 @@
 	e.versions = origin.NewVersions(origin.VersionsConfig{
 		Upstreams:    e.board.Upstreams,
 		Table:        e.table,
-		IsFirstStart: func() bool { return e.roster.Origin() == roster.OriginFirst },
+		IsFirstStart: func() bool { return e.roster.Arrival() == roster.ArrivalFirst },
 		Check:        e.lease.Check,
 		Logger:       e.config.Logger,
 	})
--- a/entry/retry.go
+++ b/entry/retry.go
@@ -31,8 +31,8 @@
 // retriesEarnedFrom returns the time from which no window contains sends of this instance's
 // process before this one.
 func (e *Entry) retriesEarnedFrom() time.Time {
-	switch e.roster.Origin() {
-	case roster.OriginFirst, roster.OriginJoined:
+	switch e.roster.Arrival() {
+	case roster.ArrivalFirst, roster.ArrivalJoined:
 		return e.created
 	default:
 		return e.created.Add(e.config.Settings.Bounds.RetryWindow + lateArrival)
@@ -43,10 +43,10 @@
 // share of the slack for a whole window.
 func (e *Entry) retriesSharedFrom() time.Time {
 	window := e.config.Settings.Bounds.RetryWindow
-	switch e.roster.Origin() {
-	case roster.OriginFirst:
+	switch e.roster.Arrival() {
+	case roster.ArrivalFirst:
 		return e.created.Add(firstRosterDelay)
-	case roster.OriginRestarted:
+	case roster.ArrivalRestarted:
 		return e.created.Add(window + lateArrival)
 	default:
 		// The others learn of this instance within the first window.
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -343,3 +343,23 @@
 		f.check.True(f.table.writeCount() <= 3)
 	})
 }
+
+// Guards against a process that takes versions in the table that it cannot read for none.
+func TestUnreadableVersionsAreNotTakenForNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, "v2")
+		f.check.NoErr(f.table.Write(t.Context(), []zinniamast.Write{{
+			Item: zinniamast.Item{
+				Key: zinniamast.Key{
+					Partition: origin.Partition,
+					Sort:      "svc",
+				},
+				Value: []byte("odd"),
+			},
+		}}))
+		started := f.newVersions(false)
+		f.check.NoErr(started.Read(t.Context()))
+		_, ok := started.Sole("svc")
+		f.check.True(!ok)
+	})
+}
--- a/origin/versions.go
+++ b/origin/versions.go
@@ -45,7 +45,7 @@
 	// list of them that was seen last.
 	seen   map[string]map[string]time.Time
 	newest map[string][]*blackboard.Upstream
-	// isRead reports whether the table was read.
+	// isRead reports whether all versions in the table were read.
 	isRead bool
 	// written are the versions in the table with the revisions of their items.
 	written map[string]writtenVersions
@@ -163,11 +163,12 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := time.Now()
+	now, isWhole := time.Now(), len(items) > 0
 	for _, item := range items {
 		var known versionsItem
 		if err := json.Unmarshal(item.Value, &known); err != nil {
-			return fmt.Errorf("origin: versions of %s: %w", item.Key.Sort, err)
+			v.config.Logger.Warn("versions of a service unreadable", "service", item.Key.Sort, "cause", err)
+			isWhole = false
 		}
 		for _, version := range known.Versions {
 			if _, isSeen := v.seen[item.Key.Sort][version]; !isSeen {
@@ -179,7 +180,7 @@
 			revision: item.Revision,
 		}
 	}
-	v.isRead = v.isRead || len(items) > 0
+	v.isRead = v.isRead || isWhole
 	return nil
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -64,9 +64,9 @@
 	mu        sync.Mutex
 	announced bool
 	entries   []Entry
-	// origin is what the first read of the table told, and isRead reports whether it has
+	// arrival is what the first read of the table told, and isRead reports whether it has
 	// ended. predecessor is the revision of this instance's item in it.
-	origin      Origin
+	arrival     Arrival
 	isRead      bool
 	predecessor uint64
 
@@ -199,28 +199,28 @@
 	Revision uint64
 }
 
-// Origin tells how this process came into the fleet.
-type Origin string
+// Arrival tells how this process came into the fleet.
+type Arrival string
 
 const (
-	// OriginUnknown means that the table could not be read when the process started.
-	OriginUnknown Origin = "unknown"
-	// OriginFirst means that no instance had been announced before.
-	OriginFirst Origin = "first"
-	// OriginRestarted means that an earlier process of this instance had been announced.
-	OriginRestarted Origin = "restarted"
-	// OriginJoined means that only other instances had been announced.
-	OriginJoined Origin = "joined"
+	// ArrivalUnknown means that the table could not be read when the process started.
+	ArrivalUnknown Arrival = "unknown"
+	// ArrivalFirst means that no instance had been announced before.
+	ArrivalFirst Arrival = "first"
+	// ArrivalRestarted means that an earlier process of this instance had been announced.
+	ArrivalRestarted Arrival = "restarted"
+	// ArrivalJoined means that only other instances had been announced.
+	ArrivalJoined Arrival = "joined"
 )
 
-// Origin returns the origin of this process, which its first Read determines.
-func (r *Roster) Origin() Origin {
+// Arrival returns how this process came into the fleet, which its first Read determines.
+func (r *Roster) Arrival() Arrival {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.isRead {
-		return OriginUnknown
+		return ArrivalUnknown
 	}
-	return r.origin
+	return r.arrival
 }
 
 // Predecessor returns the revision under which the process of this instance before this one
@@ -231,8 +231,8 @@
 	return r.predecessor
 }
 
-// recordOrigin records what the first read of the table tells about this process.
-func (r *Roster) recordOrigin(entries []Entry, err error) {
+// recordArrival records what the first read of the table tells about this process.
+func (r *Roster) recordArrival(entries []Entry, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isRead {
@@ -242,16 +242,16 @@
 	own := slices.IndexFunc(entries, r.isOwn)
 	switch {
 	case err != nil:
-		r.origin = OriginUnknown
+		r.arrival = ArrivalUnknown
 	case own >= 0:
-		r.origin = OriginRestarted
+		r.arrival = ArrivalRestarted
 		r.predecessor = entries[own].Revision
 	case len(entries) == 0 || r.config.IsFirstStart:
-		r.origin = OriginFirst
+		r.arrival = ArrivalFirst
 	default:
-		r.origin = OriginJoined
+		r.arrival = ArrivalJoined
 	}
-	r.config.Logger.Info("roster read for the first time", "instance", r.config.ID, "origin", r.origin, "instances", len(entries), "cause", err)
+	r.config.Logger.Info("roster read for the first time", "instance", r.config.ID, "arrival", r.arrival, "instances", len(entries), "cause", err)
 }
 
 // isOwn reports whether an entry is that of this instance.
@@ -260,7 +260,7 @@
 // Read reads the roster from the table and stores it.
 func (r *Roster) Read(ctx context.Context) ([]Entry, error) {
 	entries, err := r.read(ctx)
-	r.recordOrigin(entries, err)
+	r.recordArrival(entries, err)
 	if err != nil {
 		return nil, err
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -127,7 +127,7 @@
 }
 
 // Guards against a process that takes itself for the first one of its instance after a restart.
-func TestOriginIsThatOfTheFirstRead(t *testing.T) {
+func TestArrivalIsThatOfTheFirstRead(t *testing.T) {
 	check := is.New(t)
 	s := store.New()
 	defer s.Close()
@@ -143,42 +143,42 @@
 	for _, c := range []struct {
 		id           string
 		isFirstStart bool
-		origin       roster.Origin
+		arrival      roster.Arrival
 	}{
 		{
-			id:     "edge-1",
-			origin: roster.OriginFirst,
+			id:      "edge-1",
+			arrival: roster.ArrivalFirst,
 		},
 		{
 			id:           "edge-2",
 			isFirstStart: true,
-			origin:       roster.OriginFirst,
+			arrival:      roster.ArrivalFirst,
 		},
 		{
-			id:     "edge-3",
-			origin: roster.OriginJoined,
+			id:      "edge-3",
+			arrival: roster.ArrivalJoined,
 		},
 		{
 			id:           "edge-1",
 			isFirstStart: true,
-			origin:       roster.OriginRestarted,
+			arrival:      roster.ArrivalRestarted,
 		},
 	} {
 		r := process(c.id, c.isFirstStart)
-		check.Equal(r.Origin(), roster.OriginUnknown)
+		check.Equal(r.Arrival(), roster.ArrivalUnknown)
 		_, err := r.Read(t.Context())
 		check.NoErr(err)
-		check.Equal(r.IsListed(), c.origin == roster.OriginRestarted)
+		check.Equal(r.IsListed(), c.arrival == roster.ArrivalRestarted)
 		r.Announce(t.Context())
 		_, err = r.Read(t.Context())
 		check.NoErr(err)
 		check.True(r.IsListed())
-		check.Equal(r.Origin(), c.origin)
+		check.Equal(r.Arrival(), c.arrival)
 	}
 }
 
 // Guards against a process whose first read failed and that takes a later one for it.
-func TestOriginStaysUnknownAfterAFailedRead(t *testing.T) {
+func TestArrivalStaysUnknownAfterAFailedRead(t *testing.T) {
 	check := is.New(t)
 	s := store.New()
 	defer s.Close()
@@ -193,5 +193,5 @@
 	check.True(err != nil)
 	_, err = r.Read(t.Context())
 	check.NoErr(err)
-	check.Equal(r.Origin(), roster.OriginUnknown)
+	check.Equal(r.Arrival(), roster.ArrivalUnknown)
 }
