--- a/forward/origin_test.go
+++ b/forward/origin_test.go
@@ -120,6 +120,8 @@
 				Upstreams: o.upstreams,
 			}))
 			o.is.Equal(o.call(pathResumable, "r-1").body, events(takeoverEvents))
+			o.mu.Lock()
+			defer o.mu.Unlock()
 			var versions []string
 			for _, line := range o.trace {
 				if _, replica, found := strings.Cut(line, " goes to "); found {
