--- a/soak/callers.go
+++ b/soak/callers.go
@@ -89,7 +89,7 @@
 	response, err := c.deployment.send(client, n, o.id, path)
 	if err == nil {
 		o.status = response.StatusCode
-		o.stamp = response.Header.Get("Zinniamast-Server-Stamp")
+		o.stamp = caller.Stamp(response)
 		var body []byte
 		body, err = io.ReadAll(response.Body)
 		o.body = string(body)
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -51,3 +51,8 @@
 	}
 	return request, nil
 }
+
+// Stamp returns the stamp of the replica whose answer a response is; empty if it has none.
+func Stamp(response *http.Response) string {
+	return response.Header.Get("Zinniamast-Server-Stamp")
+}
