Log the prompt parts of each send, and how far an answer was when its replica broke off

What callers saw: requests that share one part of their prompts crash replicas (docs/incidents/crashing-prompt-part.md). The log named neither the parts of a prompt nor whether a replica had begun to answer a request when it crashed, so that it did not tell a crashing request from those beside it. No logic changes.

TestBrokenSendIsLoggedWithItsParts fails without the new line of the log.

--- a/forward/log_test.go
+++ b/forward/log_test.go
@@ -46,3 +46,19 @@
 	f.is.Equal(f.do(f.request(http.MethodPost, pathResumable, "x")).status, http.StatusGatewayTimeout)
 	f.is.Equal(len(f.log.linesWith("replica is silent, request sent to another")), 1)
 }
+
+// Guards against a log that does not tell which of the requests on a crashed replica it was answering.
+func TestBrokenSendIsLoggedWithItsParts(t *testing.T) {
+	f := newFixture(t, 2)
+	f.setBehaviour(replica.Behaviour{
+		Events:     3,
+		BreakAfter: 1,
+	})
+	request := f.request(http.MethodPost, pathStream, "x")
+	request.Header.Set("Zinniamast-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+	f.is.True(f.do(request).broken)
+	lines := f.log.linesWith("replica broke off")
+	f.is.Equal(len(lines), 1)
+	f.is.True(strings.Contains(lines[0], "has_begun=true"))
+	f.is.True(strings.Contains(lines[0], `prompt_parts="[5c1e07a2 91bd3f06]"`))
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -37,6 +37,8 @@
 	fetchFrom    string
 	cachedTokens int
 
+	// began is when the first piece of the answer arrived; zero before that.
+	began time.Time
 	// silent reports whether the router has learned that the replica is silent, and
 	// followsAnswer whether another replica had answered with a failure before the send.
 	silent        bool
@@ -185,7 +187,7 @@
 	}
 	h.config.Demand.AddWork(c.service, choice.Work)
 	h.config.Logger.Info("sending request to replica", "request", c.metadata.ID, "service", c.service, "organisation", c.organisationName(),
-		"config", c.configVersion, "fingerprint", quarantine.Fingerprint(c.fingerprint), "suspect", c.isSuspect, "priority", c.priority, "prompt_tokens", c.metadata.PromptTokens, "replica", choice.Upstream,
+		"config", c.configVersion, "fingerprint", quarantine.Fingerprint(c.fingerprint), "suspect", c.isSuspect, "priority", c.priority, "prompt_tokens", c.metadata.PromptTokens, "prompt_parts", c.loggedParts(), "replica", choice.Upstream,
 		"failure_domain", upstream.Instance.FailureDomain, "version", upstream.Instance.Version, "resumes", c.metadata.Resumes, "after", s.lastEvent(c), "running_here", upstream.Inflight(),
 		"predicted_first", choice.FirstToken.Round(time.Millisecond), "cached", choice.CachedTokens, "fetch_from", choice.FetchFrom,
 		"left", time.Until(c.deadline).Round(time.Millisecond))
@@ -226,10 +228,34 @@
 	}
 	h.observe(c, s, zinniamast.ObservedEnd, time.Since(s.started), observed, events)
 	if failure.Outcome().MayHaveCrashed {
+		h.config.Logger.Info("replica broke off", "request", c.metadata.ID, "replica", id, "failure", failure.Failure,
+			"fingerprint", quarantine.Fingerprint(c.fingerprint), "prompt_parts", c.loggedParts(), "has_begun", !s.began.IsZero(), "wrote_for", s.wroteFor())
 		h.config.Quarantine.ReplicaCrashed(id)
 	}
 }
 
+// wroteFor returns the time since the first piece of the answer, for the log; zero if there
+// was none.
+func (s *send) wroteFor() time.Duration {
+	if s.began.IsZero() {
+		return 0
+	}
+	return time.Since(s.began).Round(time.Millisecond)
+}
+
+// maxLoggedParts limits the parts of a prompt in one line of the log.
+const maxLoggedParts = 8
+
+// loggedParts returns the parts of the prompt that other prompts may share, for the log.
+func (c *call) loggedParts() []quarantine.Part {
+	shared := sharedParts(c.metadata.Parts)
+	parts := make([]quarantine.Part, 0, min(len(shared), maxLoggedParts))
+	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
+		parts = append(parts, quarantine.Part(part.ID))
+	}
+	return parts
+}
+
 // lastEvent returns the ID of the event after which the send resumes the stream, for the log.
 func (s *send) lastEvent(c *call) string {
 	if s.after == "" {
@@ -314,6 +340,7 @@
 	if s.stream != nil {
 		s.firstEvents = s.stream.next()
 		if len(s.firstEvents) > 0 || s.stream.isWhole() && s.resumes {
+			s.began = time.Now()
 			return nil
 		}
 		return s.streamFailure()
@@ -322,6 +349,7 @@
 	if err != nil {
 		return upstreamError(s.upstream, readFailure(err), err)
 	}
+	s.began = time.Now()
 	s.plain = &answer{
 		status: s.response.StatusCode,
 		header: s.response.Header,
