--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -59,7 +59,7 @@
 	nodes    []*fleetNode
 	replicas []*fragile
 	started  int
-	// crashes holds the times at which each content crashed a replica, and arrivals
+	// crashes holds the times at which each content or part crashed a replica, and arrivals
 	// those at which it reached one.
 	crashes  map[string][]time.Duration
 	arrivals map[string][]time.Duration
@@ -75,8 +75,9 @@
 	seed uint64
 	// slots is the number of requests that a replica runs at once.
 	slots int
-	// contents are the contents that crash replicas.
+	// contents are the contents that crash replicas, and parts the parts of a prompt that do.
 	contents []string
+	parts    []string
 	// newRouter returns a node's router; nil means that of the package routing.
 	newRouter func(board *blackboard.Board, failureDomain string) zinniamast.Router
 	// hasPaths gives each node paths to the replicas that can be cut.
@@ -268,6 +269,20 @@
 	}
 }
 
+// culprit returns what lets a request crash its replica: its content or a part of its prompt;
+// empty if nothing does.
+func (f *fleet) culprit(content, prompt string) string {
+	if slices.Contains(f.config.contents, content) {
+		return content
+	}
+	for _, part := range f.config.parts {
+		if strings.Contains(prompt, part+":") {
+			return part
+		}
+	}
+	return ""
+}
+
 // crash crashes the replica, which is delisted and replaced later.
 func (r *fragile) crash(content string) {
 	f := r.fleet
@@ -291,7 +306,7 @@
 func (*fragile) Close() {}
 
 // begin takes a slot for a request, unless the replica is down or full.
-func (r *fragile) begin(content string) error {
+func (r *fragile) begin(culprit string) error {
 	f := r.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -303,8 +318,8 @@
 		}
 	}
 	r.received = append(r.received, time.Since(f.start))
-	if slices.Contains(f.config.contents, content) {
-		f.arrivals[content] = append(f.arrivals[content], time.Since(f.start))
+	if culprit != "" {
+		f.arrivals[culprit] = append(f.arrivals[culprit], time.Since(f.start))
 	}
 	if r.running == f.config.slots {
 		return errFull
@@ -344,7 +359,8 @@
 	content, duration, _ := strings.Cut(string(body), " ")
 	header := http.Header{}
 	header.Set("Zinniamast-Request-Id", request.Header.Get("Zinniamast-Request-Id"))
-	err = r.begin(content)
+	culprit := r.fleet.culprit(content, request.Header.Get("Zinniamast-Prompt-Prefix"))
+	err = r.begin(culprit)
 	if limit := r.namedLimit(); limit > 0 {
 		header.Set("Server-Limit", fmt.Sprint(limit))
 	}
@@ -365,7 +381,7 @@
 	context.AfterFunc(ctx, func() { _ = writer.CloseWithError(context.Cause(ctx)) })
 	go func() {
 		defer r.end()
-		_ = writer.CloseWithError(r.run(ctx, writer, content, after, time.Duration(milliseconds)*time.Millisecond))
+		_ = writer.CloseWithError(r.run(ctx, writer, culprit, after, time.Duration(milliseconds)*time.Millisecond))
 	}()
 	header.Set("Zinniamast-Server-Stamp", "stamp-"+r.id)
 	return &http.Response{
@@ -377,9 +393,9 @@
 }
 
 // run writes the events after a number, spread over a duration, unless the replica crashes.
-func (r *fragile) run(ctx context.Context, w io.Writer, content string, after int, duration time.Duration) error {
+func (r *fragile) run(ctx context.Context, w io.Writer, culprit string, after int, duration time.Duration) error {
 	pause := duration / takeoverEvents
-	isPoison := slices.Contains(r.fleet.config.contents, content)
+	isPoison := culprit != ""
 	if isPoison {
 		pause = poisonRunTime
 	}
@@ -392,7 +408,7 @@
 			return context.Cause(ctx)
 		}
 		if isPoison {
-			r.crash(content)
+			r.crash(culprit)
 			return io.ErrUnexpectedEOF
 		}
 		if err := writeEvents(w, event, event+1); err != nil {
@@ -405,10 +421,16 @@
 // call sends a request to a random node and reports whether it was held back and whether
 // it got a whole answer.
 func (f *fleet) call(id, content string, duration time.Duration) (heldBack, whole bool) {
+	return f.callWithPrompt(id, content, "", duration)
+}
+
+// callWithPrompt is call for a request whose prompt has parts.
+func (f *fleet) callWithPrompt(id, content, prompt string, duration time.Duration) (heldBack, whole bool) {
 	request := httptest.NewRequest(http.MethodPost, pathResumable, strings.NewReader(fmt.Sprint(content, " ", duration.Milliseconds())))
 	request.Host = host
 	request.Header.Set("Zinniamast-Request-Id", id)
 	request.Header.Set("Zinniamast-Deadline-Ms", "5000")
+	request.Header.Set("Zinniamast-Prompt-Prefix", prompt)
 	request.Header.Set("Api-Key", key)
 	f.mu.Lock()
 	n := f.nodes[f.random.IntN(len(f.nodes))]
