--- a/quarantine/held.go
+++ b/quarantine/held.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"slices"
@@ -105,8 +106,8 @@
 	q.markFreed(free, now)
 	q.mu.Unlock()
 	q.publishFreed(free, now)
-	q.saveChange(change{
-		fingerprint: free.Fingerprint,
+	q.archive.save(change{
+		key: free.Fingerprint.String(),
 	})
 	return nil
 }
@@ -159,9 +160,9 @@
 // held back.
 func (q *Quarantine) publishHeldBack(held *Held) {
 	q.publishQuarantineItem(heldKeyPrefix, held.Fingerprint, quarantineItemLifetime, held.fields()...)
-	q.saveChange(change{
-		fingerprint: held.Fingerprint,
-		held:        held,
+	q.archive.save(change{
+		key:   held.Fingerprint.String(),
+		value: []byte(strings.Join(held.fields(), "\n")),
 	})
 }
 
@@ -169,8 +170,8 @@
 // so that nodes that start later do not receive it.
 func (q *Quarantine) publishNotHeld(fingerprint uint64) {
 	q.publishQuarantineItem(heldKeyPrefix, Fingerprint(fingerprint), crashMergeWindow)
-	q.saveChange(change{
-		fingerprint: Fingerprint(fingerprint),
+	q.archive.save(change{
+		key: Fingerprint(fingerprint).String(),
 	})
 }
 
@@ -248,3 +249,42 @@
 		expires:     expires,
 	}
 }
+
+// tablePartition is the table partition that holds the requests that are held back.
+const tablePartition = "quarantine"
+
+// Run reads the requests that were held back when all nodes stopped, and stores changes
+// until ctx ends.
+func (q *Quarantine) Run(ctx context.Context) { q.archive.run(ctx, q.readHeld) }
+
+// readHeld records a held request from the table.
+func (q *Quarantine) readHeld(key string, value []byte) {
+	fingerprint, err := ParseFingerprint(key)
+	fields := strings.Split(string(value), "\n")
+	since, timeErr := parseUnixNano(fields[0])
+	if err != nil || timeErr != nil || len(fields) != heldFields {
+		q.config.Logger.Warn("held request in the table is unreadable", "item", key)
+		return
+	}
+	if time.Since(since) > staleItemAge {
+		q.archive.save(change{
+			key: key,
+		})
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.recordRemoteHeld(fingerprint, since, fields[1], fields[2], time.Now().Add(crashRetention))
+}
+
+// heldFields is the number of fields of an encoded Held.
+const heldFields = 3
+
+// fields encodes an entry.
+func (h *Held) fields() []string {
+	return []string{
+		strconv.FormatInt(h.Since.UnixNano(), 10),
+		strconv.Itoa(h.Crashes),
+		strconv.FormatInt(h.lastReport.UnixNano(), 10),
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -56,8 +56,7 @@
 type Quarantine struct {
 	config  Config
 	metrics *metrics
-	// changes are written to the table by Run.
-	changes chan change
+	archive *archive
 
 	mu sync.Mutex
 	// running holds the running requests by replica and fingerprint.
@@ -113,7 +112,7 @@
 	q := &Quarantine{
 		config:     config,
 		metrics:    newMetrics(config.Registerer),
-		changes:    make(chan change, maxPendingChanges),
+		archive:    newArchive(config.Table, tablePartition, config.Logger),
 		running:    map[string]map[uint64]*run{},
 		clearedAt:  map[uint64]time.Time{},
 		held:       map[uint64]Held{},
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"errors"
-	"strconv"
-	"strings"
+	"log/slog"
 	"time"
 
 	"zinniamast"
 )
 
 const (
-	// tablePartition is the table partition that holds the requests that are held back.
-	tablePartition = "quarantine"
 	// maxTableItems bounds the items that are read.
 	maxTableItems = 1000
 	// tableTimeout bounds one call to the table, and tableRetryDelay is the pause after a
@@ -27,26 +24,46 @@
 	staleItemAge = 24 * time.Hour
 )
 
+// archive keeps what is held back in a partition of a table, so that it outlasts a stop of
+// all nodes.
+type archive struct {
+	table     zinniamast.Table
+	partition string
+	logger    *slog.Logger
+	// changes are written to the table by run.
+	changes chan change
+}
+
 // change is a change of the items in the table.
 type change struct {
-	fingerprint Fingerprint
-	// held is the new item; nil deletes it.
-	held *Held
+	key string
+	// value is the new item; nil deletes it.
+	value []byte
+}
+
+// newArchive returns an archive; a nil table keeps nothing.
+func newArchive(table zinniamast.Table, partition string, logger *slog.Logger) *archive {
+	return &archive{
+		table:     table,
+		partition: partition,
+		logger:    logger,
+		changes:   make(chan change, maxPendingChanges),
+	}
 }
 
-// Run reads the requests that are held back from the table, so that this node knows them
-// although all nodes may have stopped since, and stores changes until ctx ends.
-func (q *Quarantine) Run(ctx context.Context) {
-	if q.config.Table == nil {
+// run reads the items that the table has, so that this node knows them although all nodes
+// may have stopped since, and stores changes until ctx ends.
+func (a *archive) run(ctx context.Context, read func(key string, value []byte)) {
+	if a.table == nil {
 		return
 	}
-	for ctx.Err() == nil && !q.load(ctx) {
+	for ctx.Err() == nil && !a.load(ctx, read) {
 		pause(ctx, tableRetryDelay)
 	}
 	for {
 		select {
-		case c := <-q.changes:
-			q.store(ctx, c)
+		case c := <-a.changes:
+			a.store(ctx, c)
 		case <-ctx.Done():
 			return
 		}
@@ -60,93 +77,65 @@
 	}
 }
 
-// saveChange queues a change for the table.
-func (q *Quarantine) saveChange(c change) {
-	if q.config.Table == nil {
+// save queues a change for the table.
+func (a *archive) save(c change) {
+	if a.table == nil {
 		return
 	}
 	select {
-	case q.changes <- c:
+	case a.changes <- c:
 	default:
-		q.config.Logger.Warn("change of a held request not stored, too many are pending", "fingerprint", c.fingerprint)
+		a.logger.Warn("change of a held item not stored, too many are pending", "item", c.key)
 	}
 }
 
 // load reads the table and reports whether that succeeded.
-func (q *Quarantine) load(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+func (a *archive) load(ctx context.Context, read func(key string, value []byte)) bool {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	items, err := q.config.Table.Query(callCtx, tablePartition, "", maxTableItems)
+	items, err := a.table.Query(ctx, a.partition, "", maxTableItems)
 	if err != nil {
-		q.config.Logger.Debug("reading the held requests failed, retrying", "cause", err)
+		a.logger.Debug("reading the held items failed, retrying", "cause", err)
 		return false
 	}
-	now := time.Now()
 	for i := range items {
-		fingerprint, err := ParseFingerprint(items[i].Key.Sort)
-		fields := strings.Split(string(items[i].Value), "\n")
-		since, timeErr := parseUnixNano(fields[0])
-		if err != nil || timeErr != nil || len(fields) != heldFields {
-			q.config.Logger.Warn("held request in the table is unreadable", "item", items[i].Key.Sort)
-			continue
-		}
-		if now.Sub(since) > staleItemAge {
-			q.saveChange(change{
-				fingerprint: fingerprint,
-			})
-			continue
-		}
-		q.mu.Lock()
-		q.recordRemoteHeld(fingerprint, since, fields[1], fields[2], now.Add(crashRetention))
-		q.mu.Unlock()
+		read(items[i].Key.Sort, items[i].Value)
 	}
 	return true
 }
 
 // store writes one change to the table.
-func (q *Quarantine) store(ctx context.Context, c change) {
+func (a *archive) store(ctx context.Context, c change) {
 	for range maxTableTries {
-		err := q.tryStore(ctx, c)
+		err := a.tryStore(ctx, c)
 		if err == nil || errors.Is(err, zinniamast.ErrNotFound) || errors.Is(err, zinniamast.ErrConflict) {
 			return // Another node has made the same change.
 		}
-		q.config.Logger.Debug("storing a change of a held request failed, retrying", "fingerprint", c.fingerprint, "cause", err)
+		a.logger.Debug("storing a change of a held item failed, retrying", "item", c.key, "cause", err)
 		pause(ctx, tableRetryDelay)
 	}
-	q.config.Logger.Warn("change of a held request not stored", "fingerprint", c.fingerprint)
+	a.logger.Warn("change of a held item not stored", "item", c.key)
 }
 
-func (q *Quarantine) tryStore(ctx context.Context, c change) error {
+func (a *archive) tryStore(ctx context.Context, c change) error {
 	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
 	write := zinniamast.Write{
 		Item: zinniamast.Item{
 			Key: zinniamast.Key{
-				Partition: tablePartition,
-				Sort:      c.fingerprint.String(),
+				Partition: a.partition,
+				Sort:      c.key,
 			},
 		},
 	}
-	if c.held != nil {
-		write.Item.Value = []byte(strings.Join(c.held.fields(), "\n"))
-		return q.config.Table.Write(ctx, []zinniamast.Write{write})
+	if c.value != nil {
+		write.Item.Value = c.value
+		return a.table.Write(ctx, []zinniamast.Write{write})
 	}
-	item, err := q.config.Table.Get(ctx, write.Item.Key)
+	item, err := a.table.Get(ctx, write.Item.Key)
 	if err != nil {
 		return err
 	}
 	write.Delete, write.Expect = true, item.Revision
-	return q.config.Table.Write(ctx, []zinniamast.Write{write})
-}
-
-// heldFields is the number of fields of an encoded Held.
-const heldFields = 3
-
-// fields encodes an entry.
-func (h *Held) fields() []string {
-	return []string{
-		strconv.FormatInt(h.Since.UnixNano(), 10),
-		strconv.Itoa(h.Crashes),
-		strconv.FormatInt(h.lastReport.UnixNano(), 10),
-	}
+	return a.table.Write(ctx, []zinniamast.Write{write})
 }
