Hold back the parts of prompts that crash replicas, at all instances

Cause: suspicion was a matter of whole requests. Each crashing request was a first offender with a fingerprint of its own; what they shared had no evidence of its own.

Change: quarantine.Parts compares, by part, which requests a crashed replica may just have begun to answer. A part with which a replica has answered lately, or has written an answer for half a second, is no suspect. The evidence against a part has a depth: that of a crash is one more than the sender knew of when it sent the request, so that crashes of one moment count once and no order of events at different instances is needed. Two successive crashes in different failure domains hold a part back, three if something else crashes replicas as well or the part was sound before. Suspects go to two replicas that all instances choose alike. A verdict names as few parts as the evidence allows: parts that were always seen together are held back together only. It cancels sends that no replica has begun to answer, spreads over all instances, and outlasts their stop in the table. Callers get 503, not run, with the time at which the verdict ends.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -222,6 +222,13 @@
 		Logger:        e.config.Logger,
 		Registerer:    e.registry,
 	})
+	e.parts = quarantine.NewParts(quarantine.PartsConfig{
+		FailureDomain: e.failureDomain,
+		Gossip:        e.members,
+		Table:         e.table,
+		Logger:        e.config.Logger,
+		Registerer:    e.registry,
+	})
 	handler := forward.New(forward.Config{
 		Routes:        e.routes,
 		Upstreams:     e.board.Upstreams,
@@ -232,6 +239,7 @@
 		Allowance:     e.allowance,
 		Throttle:      e.throttle,
 		Quarantine:    e.quarantine,
+		Parts:         e.parts,
 		Origins:       e.origins,
 		Meter:         e.usage,
 		Demand:        e.demand,
@@ -294,6 +302,7 @@
 		e.allowance.Run,
 		e.usage.Run,
 		e.quarantine.Run,
+		e.parts.Run,
 		e.origins.Run,
 		e.versions.ReadUntilDone,
 		e.reload,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -121,6 +121,7 @@
 	versions     *origin.Versions
 	origins      *origin.Directory
 	quarantine   *quarantine.Quarantine
+	parts        *quarantine.Parts
 	reports      *reports.Sharer
 	usage        *usage.Counter
 	lease        *lease.Lease
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -187,6 +187,11 @@
 			Gossip:        n,
 			Logger:        logger,
 		}),
+		Parts: quarantine.NewParts(quarantine.PartsConfig{
+			FailureDomain: n.failureDomain,
+			Gossip:        n,
+			Logger:        logger,
+		}),
 		Meter:    f,
 		Demand:   f,
 		Closing:  f.closing.Load,
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -18,6 +18,7 @@
 	"zinniamast/blackboard"
 	"zinniamast/origin"
 	"zinniamast/prefix"
+	"zinniamast/quarantine"
 	"zinniamast/routes"
 )
 
@@ -93,6 +94,9 @@
 	Allowance     Allowance
 	Throttle      Throttle
 	Quarantine    zinniamast.Quarantine
+	// Parts holds back requests by the parts of their prompts; nil means that this node alone
+	// finds those that crash replicas.
+	Parts zinniamast.PartQuarantine
 	// Origins are the origins of streams; nil means that this node alone serves them.
 	Origins Origins
 	Meter   Meter
@@ -120,6 +124,9 @@
 			Upstreams: config.Upstreams,
 		})
 	}
+	if config.Parts == nil {
+		config.Parts = quarantine.NewParts(quarantine.PartsConfig{})
+	}
 	return &Handler{
 		config:  config,
 		metrics: newMetrics(config.Registerer),
@@ -210,7 +217,10 @@
 	priority      int
 	body          []byte
 	fingerprint   uint64
-	// isSuspect reports whether the request is suspected of crashing its replicas.
+	// parts are the IDs of the parts of the prompt that other prompts may share.
+	parts []uint64
+	// isSuspect reports whether the request or a part of its prompt is suspected of crashing
+	// replicas.
 	isSuspect bool
 	prefix    []uint64
 	// resumes reports whether the caller has events of the stream, which a replica of the
@@ -286,7 +296,11 @@
 		c.priority = *c.organisation.Priority
 	}
 	c.deadline = deadline(c, arrived)
-	c.prefix = prefix.HashParts(sharedParts(c.metadata.Parts))
+	shared := sharedParts(c.metadata.Parts)
+	c.prefix = prefix.HashParts(shared)
+	for _, part := range shared {
+		c.parts = append(c.parts, part.ID)
+	}
 	return c, nil
 }
 
@@ -406,11 +420,9 @@
 // allow refuses quarantined requests and takes the request's amount from its
 // organisation's allowance.
 func (h *Handler) allow(c *call) *zinniamast.Refusal {
-	isSuspect, err := h.config.Quarantine.Check(c.fingerprint)
-	if err != nil {
-		return zinniamast.AsRefusal(err)
+	if refusal := h.checkContent(c, h.config.Quarantine.Check); refusal != nil {
+		return refusal
 	}
-	c.isSuspect = isSuspect
 	if c.organisation == nil || c.organisation.Rate <= 0 {
 		return nil
 	}
@@ -428,41 +440,6 @@
 	return zinniamast.Refuse(zinniamast.ReasonOverShare, "the allowance is used up").WithRetryAfter(wait)
 }
 
-// refuse answers a request that this node refuses or gives up.
-func (h *Handler) refuse(w http.ResponseWriter, c *call, refusal *zinniamast.Refusal) {
-	status := statusOf(refusal)
-	header := w.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	if refusal.RetryAfter > 0 && refusal.Ran == zinniamast.NotRun {
-		header.Set("Retry-After", h.config.Protocol.RetryAfter(refusal.RetryAfter))
-	}
-	if status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge {
-		header.Set("Connection", "close")
-	}
-	w.WriteHeader(status)
-	_, _ = io.WriteString(w, refusal.Message+"\n")
-	h.metrics.refused.WithLabelValues(string(refusal.Reason)).Inc()
-	h.config.Logger.Warn("request refused", "request", c.metadata.ID, "status", status, "reason", refusal.Reason,
-		"ran", refusal.Ran, "service", c.service, "config", c.configVersion, "arrivals", c.arrivals, "avoid", c.avoid,
-		"cause", c.lastError(),
-		"retry_after", refusal.RetryAfter, "elapsed", time.Since(c.arrived).Round(time.Millisecond))
-}
-
-// statusOf returns the HTTP status for a refusal. The statuses 429 and 503 promise
-// that the request has not run and never will. A request that may have run gets
-// 502, or 504 if its deadline has passed, which promise nothing.
-func statusOf(refusal *zinniamast.Refusal) int {
-	status := refusal.Status()
-	promisesNotRun := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
-	if promisesNotRun && refusal.Ran != zinniamast.NotRun {
-		return http.StatusBadGateway
-	}
-	if status == http.StatusUnprocessableEntity {
-		return http.StatusBadGateway
-	}
-	return status
-}
-
 // hopByHop lists the headers that apply to a single connection.
 var hopByHop = []string{
 	"Connection",
--- a/forward/send.go
+++ b/forward/send.go
@@ -50,6 +50,8 @@
 	stream      *eventReader
 	firstEvents []byte
 	plain       *answer
+	// run tells the quarantine of prompt parts how far the answer is.
+	run zinniamast.PartRun
 	// ready is closed after a send in the background has failed or begun to answer, and
 	// failure is then its failure; nil if it has begun. The handler itself waits for
 	// the other sends, which have neither.
@@ -112,20 +114,6 @@
 	}, err == nil && choice.FirstToken <= c.route.Target
 }
 
-// recheck refuses a request that has become known to crash replicas since its last send,
-// and records whether it is a suspect.
-func (h *Handler) recheck(c *call) *zinniamast.Refusal {
-	if c.sendsStarted == 0 {
-		return nil
-	}
-	isSuspect, err := h.config.Quarantine.CheckRetry(c.fingerprint)
-	if err != nil {
-		return zinniamast.AsRefusal(err).WithRan(c.ran)
-	}
-	c.isSuspect = isSuspect
-	return nil
-}
-
 // routeRequest returns what the router takes into account when it chooses a replica.
 func (h *Handler) routeRequest(c *call, avoid []string) *zinniamast.RouteRequest {
 	return &zinniamast.RouteRequest{
@@ -145,23 +133,6 @@
 	}
 }
 
-// avoided returns the replicas that must not get the request. A suspect request
-// also avoids the replicas that Quarantine.Apart returns, among them those where
-// replicas crashed while running it. A second crash there would prove nothing, and
-// would also end whatever has just recovered there.
-func (h *Handler) avoided(c *call) []string {
-	if !c.isSuspect {
-		return c.avoid
-	}
-	var replicas []string
-	for _, u := range h.config.Upstreams.Of(c.service) {
-		if !u.Leaving() && !slices.Contains(c.avoid, u.Instance.ID) {
-			replicas = append(replicas, u.Instance.ID)
-		}
-	}
-	return append(slices.Clone(c.avoid), h.config.Quarantine.ReplicasToAvoid(c.fingerprint, replicas)...)
-}
-
 // newSend starts the accounts of a send to the replica that the router chose.
 func (h *Handler) newSend(ctx context.Context, c *call, a *answer, to routed) *send {
 	upstream, choice := to.upstream, to.choice
@@ -194,6 +165,7 @@
 	upstream.BeginAttempt()
 	h.config.Throttle.Sent(upstream)
 	h.config.Quarantine.AttemptStarted(upstream.Instance.ID, c.fingerprint)
+	s.run = h.config.Parts.Started(upstream.Instance.ID, c.parts, func() { s.cancel(errHeldBack) })
 	h.observe(c, s, zinniamast.ObservedStart, 0, "", 0)
 	return s
 }
@@ -212,6 +184,7 @@
 	defer s.upstream.EndAttempt()
 	isAnswered := failure == nil && s.response.StatusCode < http.StatusInternalServerError
 	defer h.config.Quarantine.AttemptEnded(id, c.fingerprint, isAnswered)
+	defer s.run.Ended(isAnswered)
 	if failure == nil {
 		h.observe(c, s, zinniamast.ObservedEnd, time.Since(s.started), "", events)
 		return
@@ -222,6 +195,9 @@
 			failure.Failure = zinniamast.FailureTimeout
 		}
 	}
+	if errors.Is(context.Cause(s.ctx), errHeldBack) && failure.Outcome().MayHaveCrashed {
+		failure.Failure = zinniamast.FailureStopped
+	}
 	observed := failure.Failure
 	if s.silent && observed == zinniamast.FailureTimeout {
 		observed = zinniamast.FailureStopped // The router has counted the silence.
@@ -231,9 +207,16 @@
 		h.config.Logger.Info("replica broke off", "request", c.metadata.ID, "replica", id, "failure", failure.Failure,
 			"fingerprint", quarantine.Fingerprint(c.fingerprint), "prompt_parts", c.loggedParts(), "has_begun", !s.began.IsZero(), "wrote_for", s.wroteFor())
 		h.config.Quarantine.ReplicaCrashed(id)
+		h.config.Parts.ReplicaCrashed(id)
 	}
 }
 
+// recordBegan records that the first piece of the answer has arrived.
+func (s *send) recordBegan() {
+	s.began = time.Now()
+	s.run.Wrote()
+}
+
 // wroteFor returns the time since the first piece of the answer, for the log; zero if there
 // was none.
 func (s *send) wroteFor() time.Duration {
@@ -243,19 +226,6 @@
 	return time.Since(s.began).Round(time.Millisecond)
 }
 
-// maxLoggedParts limits the parts of a prompt in one line of the log.
-const maxLoggedParts = 8
-
-// loggedParts returns the parts of the prompt that other prompts may share, for the log.
-func (c *call) loggedParts() []quarantine.Part {
-	shared := sharedParts(c.metadata.Parts)
-	parts := make([]quarantine.Part, 0, min(len(shared), maxLoggedParts))
-	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
-		parts = append(parts, quarantine.Part(part.ID))
-	}
-	return parts
-}
-
 // lastEvent returns the ID of the event after which the send resumes the stream, for the log.
 func (s *send) lastEvent(c *call) string {
 	if s.after == "" {
@@ -340,7 +310,7 @@
 	if s.stream != nil {
 		s.firstEvents = s.stream.next()
 		if len(s.firstEvents) > 0 || s.stream.isWhole() && s.resumes {
-			s.began = time.Now()
+			s.recordBegan()
 			return nil
 		}
 		return s.streamFailure()
@@ -349,7 +319,7 @@
 	if err != nil {
 		return upstreamError(s.upstream, readFailure(err), err)
 	}
-	s.began = time.Now()
+	s.recordBegan()
 	s.plain = &answer{
 		status: s.response.StatusCode,
 		header: s.response.Header,
--- a/gossip.go
+++ b/gossip.go
@@ -15,6 +15,9 @@
 	TopicCrash Topic = "crash"
 	// TopicQuarantine reports requests that were quarantined or released.
 	TopicQuarantine Topic = "quarantine"
+	// TopicPromptPart reports prompt parts that may have crashed a replica, whose ID is the
+	// key, and those that have proved sound.
+	TopicPromptPart Topic = "prompt_part"
 	// TopicRateLimit reports the rate limit that a replica names. The key is its ID.
 	TopicRateLimit Topic = "rate_limit"
 	// TopicUsage reports an organisation's usage at one node.
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -15,6 +15,7 @@
 	zinniamast.TopicUpstreamGone:    true,
 	zinniamast.TopicCrash:           true,
 	zinniamast.TopicQuarantine:      true,
+	zinniamast.TopicPromptPart:      true,
 	zinniamast.TopicRateLimit:       true,
 	topicSummary:                    true,
 }
--- a/policy.go
+++ b/policy.go
@@ -188,3 +188,29 @@
 	// ReplicaCrashed reports that a replica crashed while it ran requests.
 	ReplicaCrashed(upstream string)
 }
+
+// PartQuarantine refuses requests whose prompts have a part that crashes the replicas that
+// begin to answer them. A part is identified by its ID; the last part of a prompt, which
+// belongs to the request alone, is none.
+type PartQuarantine interface {
+	// Check returns a *Refusal for a request with a quarantined part. For a request with a
+	// suspect part, alone is true: it must run where it cannot harm other requests.
+	Check(parts []uint64) (alone bool, err error)
+	// ReplicasToAvoid returns the replicas that a request with a suspect part should avoid.
+	ReplicasToAvoid(parts []uint64, replicas []string) []string
+	// Started reports that a request is sent to a replica. If one of its parts is
+	// quarantined before the replica begins to answer, cancel is called.
+	Started(upstream string, parts []uint64, cancel func()) PartRun
+	// ReplicaCrashed reports that a replica crashed while it ran requests. It precedes Ended
+	// of their runs.
+	ReplicaCrashed(upstream string)
+}
+
+// PartRun is a request at a replica.
+type PartRun interface {
+	// Wrote reports that a piece of the answer has arrived.
+	Wrote()
+	// Ended reports that the run has ended. If isAnswered is true, the replica answered the
+	// request completely.
+	Ended(isAnswered bool)
+}
--- a/quarantine/metrics.go
+++ b/quarantine/metrics.go
@@ -28,3 +28,28 @@
 		freed:   counter("zinniamast_freed_total", "Requests that operators let run again, as heard here."),
 	}
 }
+
+// partMetrics holds the metrics of the quarantine of prompt parts.
+type partMetrics struct {
+	held    prometheus.Gauge
+	alone   prometheus.Counter
+	refused prometheus.Counter
+}
+
+func newPartMetrics(registerer prometheus.Registerer) *partMetrics {
+	factory := promauto.With(registerer)
+	return &partMetrics{
+		held: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "zinniamast_quarantined_parts",
+			Help: "Sets of prompt parts that are held back because they crash replicas.",
+		}),
+		alone: factory.NewCounter(prometheus.CounterOpts{
+			Name: "zinniamast_suspect_part_requests_total",
+			Help: "Checks of requests with a prompt part that is suspected of crashing replicas.",
+		}),
+		refused: factory.NewCounter(prometheus.CounterOpts{
+			Name: "zinniamast_quarantined_part_requests_total",
+			Help: "Requests held back because a part of their prompts crashes replicas.",
+		}),
+	}
+}
