--- a/quarantine/part_evidence.go
+++ b/quarantine/part_evidence.go
@@ -185,13 +185,14 @@
 }
 
 // clear records that a replica began a sound answer to a prompt with a part, and reports
-// whether there was evidence against it. The caller holds the lock.
+// whether there was evidence against it or a verdict on it. The caller holds the lock.
 func (p *Parts) clear(part uint64, at time.Time, where string) bool {
 	depth := p.evidenceAgainst(part).depth
+	wasOnProbation := p.onProbation(part)
 	p.sound.put(part, at)
 	delete(p.lapsed, part)
 	wasHeld := p.release(part)
-	if depth == 0 && !wasHeld {
+	if depth == 0 && !wasHeld && !wasOnProbation {
 		return false
 	}
 	p.config.Logger.Info("suspect prompt part cleared", "part", Part(part), "depth", depth, "held", wasHeld, "answered_by", where)
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -38,8 +38,8 @@
 	// for the parts of its prompt not to be suspects of the crash.
 	soundTime = 2 * time.Second
 	// maxPartCrashes and maxSuspectParts bound the retained crashes and the suspects of each.
-	maxPartCrashes  = 500
-	maxSuspectParts = 256
+	maxPartCrashes  = 200
+	maxSuspectParts = 64
 )
 
 // Parts finds and holds back the parts of prompts that crash each replica that begins to
