Hold back messages that crash engines, on the own interface as well

The same cause elsewhere: requests of the own interface that share only a message, such as a system message, crashed one engine after the other as long as their own messages differed. Each message but the last is a part of the prompt now, by its hash, and follows the request to the instances that it is handed to. Operators see parts in status and free them by name.

--- a/attempt/flight.go
+++ b/attempt/flight.go
@@ -32,6 +32,9 @@
 	// tokensBefore counts the tokens that earlier attempts produced.
 	tokensBefore int
 
+	// run tells the quarantine of prompt parts how far the answer is.
+	run zinniamast.PartRun
+
 	// opened is closed when open has returned. It has set the fields below it.
 	opened    chan struct{}
 	stream    zinniamast.Stream
@@ -99,6 +102,7 @@
 	r.mu.Unlock()
 	f.upstream.BeginAttempt()
 	r.config.Quarantine.AttemptStarted(f.upstream.Instance.ID, call.Fingerprint)
+	f.run = r.config.Parts.Started(f.upstream.Instance.ID, call.PromptParts, func() { f.cancel(errHeldBack) })
 	r.config.Router.Observe(zinniamast.Observation{
 		Kind:         zinniamast.ObservedStart,
 		Attempt:      f.attempt,
@@ -118,6 +122,7 @@
 		f.openError = f.stream.Next(&f.chunk)
 	}
 	if f.openError == nil {
+		f.run.Wrote()
 		r.observeFirst(f)
 		r.config.Retry.Succeeded(f.request.Call.Model)
 	}
@@ -142,6 +147,7 @@
 		err = cancelError(cause, err, f.upstream.Instance.ID)
 	} else if failure := zinniamast.AsUpstreamError(err); failure != nil && failure.Outcome().MayHaveCrashed && !f.upstream.Leaving() {
 		r.config.Quarantine.ReplicaCrashed(f.upstream.Instance.ID)
+		r.config.Parts.ReplicaCrashed(f.upstream.Instance.ID)
 	}
 	f.cancel(nil)
 	if f.stream != nil {
@@ -152,6 +158,7 @@
 	r.mu.Unlock()
 	f.upstream.EndAttempt()
 	r.config.Quarantine.AttemptEnded(f.upstream.Instance.ID, f.request.Call.Fingerprint, err == nil)
+	f.run.Ended(err == nil)
 	return err
 }
 
@@ -161,6 +168,12 @@
 	switch {
 	case errors.As(cause, &order), errors.Is(cause, errHandedOff), errors.Is(cause, errWithdrawn):
 		return cause
+	case errors.Is(cause, errHeldBack):
+		return &zinniamast.UpstreamError{
+			Failure:  zinniamast.FailureStopped,
+			Upstream: upstream,
+			Cause:    cause,
+		}
 	case errors.Is(cause, silence.ErrSilent):
 		return &zinniamast.UpstreamError{
 			Failure:  zinniamast.FailureTimeout,
--- a/attempt/runner.go
+++ b/attempt/runner.go
@@ -15,6 +15,7 @@
 	"zinniamast/blackboard"
 	"zinniamast/config"
 	"zinniamast/prefix"
+	"zinniamast/quarantine"
 	"zinniamast/request"
 )
 
@@ -32,8 +33,11 @@
 	Router     zinniamast.Router
 	Retry      zinniamast.RetryPolicy
 	Quarantine zinniamast.Quarantine
-	Logger     *slog.Logger
-	Metrics    *Metrics
+	// Parts holds back requests by the parts of their prompts; nil means that this node alone
+	// finds those that crash replicas.
+	Parts   zinniamast.PartQuarantine
+	Logger  *slog.Logger
+	Metrics *Metrics
 	// FailureDomain is the failure domain of this node; it selects the policy.
 	FailureDomain string
 	// OnTokensProduced is called with the number of tokens that an attempt produced, by
@@ -66,8 +70,15 @@
 // errHandedOff ends an attempt whose request a peer has taken over.
 var errHandedOff = errors.New("request was handed off to a peer")
 
+// errHeldBack ends an attempt of a request that has become known to crash replicas before its
+// replica began to answer.
+var errHeldBack = errors.New("a part of the prompt crashes replicas")
+
 // New returns a runner that moves requests off leaving upstreams.
 func New(config Config) *Runner {
+	if config.Parts == nil {
+		config.Parts = quarantine.NewParts(quarantine.PartsConfig{})
+	}
 	r := &Runner{
 		config:  config,
 		running: map[string]*flight{},
@@ -163,7 +174,7 @@
 	}
 	f := p.next
 	if f == nil {
-		alone, err := r.config.Quarantine.Check(p.request.Call.Fingerprint)
+		alone, err := r.check(&p.request.Call)
 		if err != nil {
 			return r.giveUp(p, zinniamast.AsRefusal(err).WithRan(p.ran))
 		}
@@ -255,5 +266,19 @@
 			replicas = append(replicas, upstream.Instance.ID)
 		}
 	}
-	return append(slices.Clone(p.avoid), r.config.Quarantine.ReplicasToAvoid(p.request.Call.Fingerprint, replicas)...)
+	avoid := r.config.Quarantine.ReplicasToAvoid(p.request.Call.Fingerprint, replicas)
+	replicas = slices.DeleteFunc(replicas, func(id string) bool { return slices.Contains(avoid, id) })
+	return slices.Concat(p.avoid, avoid, r.config.Parts.ReplicasToAvoid(p.request.Call.PromptParts, replicas))
+}
+
+// check refuses a request that crashes replicas, be it by itself or by a part of its prompt,
+// and reports whether it is suspected of that.
+func (r *Runner) check(call *request.Call) (alone bool, err error) {
+	hasSuspectPart, err := r.config.Parts.Check(call.PromptParts)
+	if err != nil {
+		return false, err
+	}
+	// Check may wait for reports of other nodes.
+	isSuspect, err := r.config.Quarantine.Check(call.Fingerprint)
+	return isSuspect || hasSuspectPart, err
 }
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -49,6 +49,7 @@
 			return err
 		}
 		watch.Received()
+		f.run.Wrote()
 		if err := r.accept(f); err != nil {
 			return err
 		}
--- a/attempt/successor.go
+++ b/attempt/successor.go
@@ -62,8 +62,7 @@
 // succeed starts a successor of the current attempt, which carries out the given move if
 // there is one, and reports whether it took over. The caller has set f.starting.
 func (r *Runner) succeed(f *flight, order *moveOrder) bool {
-	// Check may wait for reports of other nodes.
-	alone, err := r.config.Quarantine.Check(f.request.Call.Fingerprint)
+	alone, err := r.check(&f.request.Call)
 	if err != nil {
 		// The request is held back and gets no further attempt, so starting stays set.
 		return false
--- a/caller/parse.go
+++ b/caller/parse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/valyala/fastjson"
+	"github.com/zeebo/xxh3"
 
 	"zinniamast"
 	"zinniamast/config"
@@ -85,6 +86,18 @@
 	return a, s.parseHeaders(a, q, current)
 }
 
+// promptParts returns hashes of the messages except the last one, which other prompts may
+// share.
+func promptParts(messages []*fastjson.Value) []uint64 {
+	var parts []uint64
+	var text []byte
+	for _, message := range messages[:len(messages)-1] {
+		text = message.MarshalTo(text[:0])
+		parts = append(parts, xxh3.Hash(text))
+	}
+	return parts
+}
+
 // parseBody reads the fields of the JSON body.
 func parseBody(value *fastjson.Value) (*parsedRequest, *zinniamast.Refusal) {
 	object, err := value.Object()
@@ -116,6 +129,7 @@
 		},
 	}
 	a.call.PromptTokens = request.EstimateTokens(a.call.Messages)
+	a.call.PromptParts = promptParts(messages.GetArray())
 	for _, field := range reservedFields {
 		object.Del(field)
 	}
--- a/command/free.go
+++ b/command/free.go
@@ -5,16 +5,20 @@
 	"flag"
 	"fmt"
 	"io"
+	"strings"
 
 	"zinniamast/operator"
 )
 
+// partPrefix starts the name of a prompt part among the names of requests.
+const partPrefix = "part:"
+
 // Free releases a quarantined request, and returns its exit code.
 func Free(args []string, out, errOut io.Writer) int {
 	flags := flag.NewFlagSet("free", flag.ContinueOnError)
 	flags.SetOutput(errOut)
 	flags.Usage = func() {
-		fmt.Fprintln(errOut, "usage: zinniamast free [flags] FINGERPRINT\n\nLets a request that zinniamast status lists as held back run again, at every\nnode. It runs alone until it has ended well; one more crash holds it back again.")
+		fmt.Fprintln(errOut, "usage: zinniamast free [flags] FINGERPRINT|part:PART\n\nLets a request, or the requests with a prompt part, that zinniamast status lists\nas held back run again, at every node. They run alone until one has ended well;\none more crash holds them back again.")
 		flags.PrintDefaults()
 	}
 	target := addOperatorFlags(flags)
@@ -24,7 +28,12 @@
 	if flags.Parse(args) != nil {
 		return exitUsage
 	}
-	free.Fingerprint = flags.Arg(0)
+	name := flags.Arg(0)
+	if part, ok := strings.CutPrefix(name, partPrefix); ok {
+		free.PromptPart = part
+	} else {
+		free.Fingerprint = name
+	}
 	if flags.NArg() != 1 || free.By == "" || free.Why == "" {
 		flags.Usage()
 		return exitUsage
@@ -33,7 +42,7 @@
 		if err := client.Free(ctx, free); err != nil {
 			return exitFailed, err
 		}
-		fmt.Fprintf(out, "%s: freed\n", free.Fingerprint)
+		fmt.Fprintf(out, "%s: freed\n", name)
 		return exitOK, nil
 	})
 }
--- a/command/status.go
+++ b/command/status.go
@@ -124,7 +124,11 @@
 	fmt.Fprintln(out, "\nHELD BACK")
 	printTable(out, "FINGERPRINT\tSINCE\tCRASHES", func(w io.Writer) {
 		for _, h := range status.Held {
-			fmt.Fprintf(w, "%s\t%s\t%d\n", h.Fingerprint, formatAge(status.Now, h.Since), h.Crashes)
+			name := h.Fingerprint
+			if h.PromptParts != "" {
+				name = partPrefix + h.PromptParts
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\n", name, formatAge(status.Now, h.Since), h.Crashes)
 		}
 	})
 }
--- a/node/assemble.go
+++ b/node/assemble.go
@@ -103,6 +103,7 @@
 		Router:           n.router,
 		Retry:            budget,
 		Quarantine:       n.quarantine,
+		Parts:            n.parts,
 		Logger:           n.config.Logger,
 		Metrics:          attempt.NewMetrics(n.registry),
 		FailureDomain:    n.config.Settings.FailureDomain,
--- a/node/node.go
+++ b/node/node.go
@@ -86,6 +86,7 @@
 	table       *tablebudget.Client
 	rollout     *rollout.Rollout
 	quarantine  *quarantine.Quarantine
+	parts       *quarantine.Parts
 	claims      *claims.Claims
 	services    *services.Handler
 	meter       *capacity.Meter
--- a/node/services.go
+++ b/node/services.go
@@ -22,6 +22,12 @@
 		Logger:        n.config.Logger,
 		Registerer:    n.registry,
 	})
+	n.parts = quarantine.NewParts(quarantine.PartsConfig{
+		FailureDomain: n.failureDomainOf,
+		Gossip:        n.members,
+		Logger:        n.config.Logger,
+		Registerer:    n.registry,
+	})
 }
 
 func (n *Node) failureDomainOf(upstream string) string {
--- a/request/request.go
+++ b/request/request.go
@@ -56,6 +56,9 @@
 	Deadline time.Time `json:"deadline"`
 	// Messages is the JSON array of messages.
 	Messages []byte `json:"messages"`
+	// PromptParts are hashes of the messages except the last one, which other prompts may
+	// share.
+	PromptParts []uint64 `json:"prompt_parts,omitempty"`
 	// Parameters is a JSON object with the remaining fields of the body, such as the
 	// sampling parameters.
 	Parameters []byte `json:"parameters"`
