Ask a member for what was published while this node was cut off or paused

What was seen: an instance that was cut off from the others for some seconds never heard of a request or prompt part that was held back meanwhile, if the instance that had decided so was gone, or was of another failure domain. A member that returns got the items of their publishers only, each from its own.

Change: a node that finds itself isolated, paused or declared dead asks the next member that it reaches for the full state, as a joining node does, lasting items first.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -43,6 +43,7 @@
 	taken := p.outbox.takeBatch(&m.gossip, &m.bulkBudgetBytes)
 	message := m.newExchange()
 	message.Digest = m.digest()
+	message.Want = m.lacksGossip
 	m.fillMessage(message, taken)
 	address := p.record.Address
 	m.wait.Add(1)
@@ -51,12 +52,12 @@
 		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		defer cancel()
 		answer, err := m.config.Transport.Exchange(ctx, address, message)
-		m.finishExchange(ctx, p, taken, answer, err)
+		m.finishExchange(ctx, p, message.Want, taken, answer, err)
 	}()
 }
 
 // finishExchange handles the result of an exchange with a member.
-func (m *Membership) finishExchange(ctx context.Context, p *member, taken batch, answer *Exchange, err error) {
+func (m *Membership) finishExchange(ctx context.Context, p *member, wanted bool, taken batch, answer *Exchange, err error) {
 	m.mu.Lock()
 	p.inFlight = false
 	// The address may have been reused by another process, whose answer does not come
@@ -76,6 +77,9 @@
 	}
 	p.clearSuspicion()
 	m.isolated = false
+	if wanted {
+		m.lacksGossip = false
+	}
 	m.recordContact(p, answer.Config, time.Now())
 	callbacks := m.mergeMessage(answer, p)
 	if answer.Want {
--- a/membership/member.go
+++ b/membership/member.go
@@ -120,6 +120,7 @@
 		return
 	}
 	m.own.Incarnation = record.Incarnation + 1
+	m.lacksGossip = true
 	m.config.Logger.Warn("member_denies_death", "incarnation", m.own.Incarnation)
 	m.writeSelf(m.config.ConfigVersion())
 	m.broadcastRecord(m.own.ID)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -91,6 +91,9 @@
 	// isolated means that the last indirect probe of a suspected member got no answer
 	// from any helper.
 	isolated bool
+	// lacksGossip means that this node was cut off or paused and may have missed items that
+	// are published only once. It asks the next member that it reaches for them.
+	lacksGossip bool
 
 	heartbeatAt time.Time
 	summaryAt   time.Time
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -44,6 +44,7 @@
 		// suspicion decides only if there is no helper to ask.
 		p.unreachable = answered || len(addresses) == 0
 		m.isolated = !p.unreachable
+		m.lacksGossip = m.lacksGossip || m.isolated
 	}()
 }
 
@@ -144,6 +145,7 @@
 	if isFirst || sinceLastStep < probeTimeout {
 		return
 	}
+	m.lacksGossip = true
 	m.config.Logger.Warn("node_paused", "pause", sinceLastStep.String())
 	for _, p := range m.members {
 		p.clearSuspicion()
--- /dev/null
+++ b/membership/rejoin_test.go
@@ -0,0 +1,55 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniamast"
+)
+
+// contactTime is the time after which a node that can reach the others again counts as one of them.
+const contactTime = 3 * time.Second
+
+// Guards against a node that was cut off for seconds and never hears of what was held back meanwhile.
+func TestNodeThatWasCutOffReceivesHeldRequests(t *testing.T) {
+	for _, lost := range []time.Duration{2 * time.Second, 8 * time.Second, 40 * time.Second} {
+		for publisher := range 4 {
+			t.Run(fmt.Sprint(lost, " publisher ", publisher), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					n := newNetwork()
+					nodes := n.fleet(t, 8, 2)
+					cut := nodes[6]
+					received := 0
+					cut.Subscribe(zinniamast.TopicQuarantine, func(zinniamast.GossipItem) { n.update(func() { received++ }) })
+					setCut := func(isCut bool) {
+						n.update(func() {
+							for _, other := range nodes {
+								n.cut[[2]string{cut.id, other.id}] = isCut
+								n.cut[[2]string{other.id, cut.id}] = isCut
+							}
+						})
+					}
+					setCut(true)
+					time.Sleep(lost / 2)
+					nodes[publisher].Publish(zinniamast.GossipItem{
+						Topic:      zinniamast.TopicQuarantine,
+						Key:        "held",
+						Value:      make([]byte, 8),
+						Expires:    time.Now().Add(10 * time.Minute),
+						AllDomains: true,
+					})
+					time.Sleep(lost / 2)
+					// The publisher may have been replaced by then.
+					n.crash(nodes[publisher].id, false)
+					setCut(false)
+					time.Sleep(contactTime)
+					is.New(t).Equal(received, 1)
+				})
+			})
+		}
+	}
+}
