--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -66,6 +66,10 @@
 	Pause      time.Duration
 	// CutBody announces a longer body than the replica sends.
 	CutBody bool
+	// Unframed answers with neither a length nor chunks, so that the answer ends with its
+	// connection. ResetEnd then ends the connection with a reset.
+	Unframed bool
+	ResetEnd bool
 }
 
 // Faulty reports whether an answer lacks the replica's stamp, carries the ID of
@@ -228,6 +232,8 @@
 		w.Header().Set("Zinniamast-Server-Stamp", "stamp-"+r.ID)
 	}
 	switch {
+	case b.Unframed:
+		r.writeUnframed(w, request, run, b)
 	case r.StreamPrefix != "" && strings.HasPrefix(request.URL.Path, r.StreamPrefix):
 		r.stream(w, request, r.streamBehaviour(b))
 	case b.Events > 0:
--- /dev/null
+++ b/standin/replica/unframed.go
@@ -0,0 +1,50 @@
+package replica
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// writeUnframed answers with a stream, or with a whole answer if the behaviour has no events,
+// that ends with its connection.
+func (r *Replica) writeUnframed(w http.ResponseWriter, request *http.Request, run *Run, b Behaviour) {
+	header := w.Header().Clone()
+	connection, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer connection.Close()
+	if tcp, ok := connection.(*net.TCPConn); ok && b.ResetEnd {
+		_ = tcp.SetLinger(0)
+	}
+	status := http.StatusOK
+	if b.Status != 0 {
+		status = b.Status
+	}
+	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = header.Write(buffered)
+	_, _ = fmt.Fprint(buffered, "Connection: close\r\n\r\n")
+	if b.Events == 0 {
+		_, _ = fmt.Fprint(buffered, r.ID+" ran "+run.ID)
+	}
+	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	for i := after + 1; i <= b.Events; i++ {
+		if b.BreakAfter > 0 && i > b.BreakAfter && (after == 0 || !b.BreakNew) {
+			_, _ = fmt.Fprintf(buffered, "id: %d\ndata: half of", i)
+			break
+		}
+		_, _ = fmt.Fprintf(buffered, "id: %d\ndata: %s\n\n", i, EventData(r.StreamPrefix != "", run.ID, i))
+		_ = buffered.Flush()
+		time.Sleep(b.Gap)
+	}
+	_ = buffered.Flush()
+	if b.ResetEnd {
+		time.Sleep(resetDelay) // A reset discards what has not been read.
+	}
+}
+
+// resetDelay is the time between the last byte of an answer and its reset.
+const resetDelay = 50 * time.Millisecond
