Close new connections unread while an instance cannot read them in time

What callers would see once most new connections of a failure domain come to one instance: it accepts all of them, at 0.14 to 0.8 of a core, reads each a second or more later, and serves neither those whose callers have left nor the others in time.

Change: package overload. The wait between the acceptance of a connection and the first read from it shows how far the processor is behind, whatever keeps it busy. Above 50 ms new connections are reset unread, so that their callers try another instance at once; one at a time is taken to see whether the wait has passed. Kept connections, peers and the readiness checks are not affected.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -15,6 +15,7 @@
 	"zinniamast/forward"
 	"zinniamast/lease"
 	"zinniamast/nearest"
+	"zinniamast/overload"
 	"zinniamast/plain"
 	"zinniamast/platform"
 	"zinniamast/quarantine"
@@ -258,6 +259,10 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(e.config.Logger.Handler(), slog.LevelDebug),
 	}
+	e.gate = overload.NewGate(overload.Config{
+		Logger:     e.config.Logger,
+		Registerer: e.registry,
+	})
 	e.relayServer = &http.Server{
 		Handler:           e.egress,
 		BaseContext:       func(net.Listener) context.Context { return serving },
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,7 @@
 	"zinniamast/limits"
 	"zinniamast/membership"
 	"zinniamast/origin"
+	"zinniamast/overload"
 	"zinniamast/peer"
 	"zinniamast/platform"
 	"zinniamast/quarantine"
@@ -130,6 +131,8 @@
 	registry     *prometheus.Registry
 	egress       *egress.Egress
 	callerServer *http.Server
+	// gate decides which new connections of callers are taken.
+	gate *overload.Gate
 	// relayServer serves the requests that other instances relay through this one.
 	relayServer *http.Server
 	// cancelRequests cancels the requests that are still running.
@@ -199,7 +202,7 @@
 	failed := make(chan error, len(e.listeners)+2)
 	go func() { failed <- e.peerServer.Serve() }()
 	go func() { failed <- e.relayServer.Serve(e.peerServer.RelayListener()) }()
-	go func() { failed <- e.callerServer.Serve(e.listeners[0]) }()
+	go func() { failed <- e.callerServer.Serve(overload.NewListener(e.listeners[0], e.gate)) }()
 	for _, listener := range e.listeners[1:] {
 		go func() { failed <- e.readyServer.Serve(listener) }()
 	}
