Tell requests that a replica was answering from those that it had just begun, when it crashes

The same cause elsewhere: the quarantine of whole requests took all that ran on a crashed replica for equal suspects, also those that it had been answering for seconds.

Change: a request whose answer a replica has been writing for half a second is no suspect of its crash as long as another request there is; instances tell both kinds apart in their reports. One that crashes replicas late is still held back at its fifth crash.

The doubles of the tests have the new method.

--- a/attempt/flight.go
+++ b/attempt/flight.go
@@ -34,6 +34,10 @@
 
 	// run tells the quarantine of prompt parts how far the answer is.
 	run zinniamast.PartRun
+	// began is when the first tokens arrived, and isWriting reports whether the quarantine
+	// knows that the engine has been writing the answer for a while.
+	began     time.Time
+	isWriting bool
 
 	// opened is closed when open has returned. It has set the fields below it.
 	opened    chan struct{}
@@ -122,6 +126,7 @@
 		f.openError = f.stream.Next(&f.chunk)
 	}
 	if f.openError == nil {
+		f.began = time.Now()
 		f.run.Wrote()
 		r.observeFirst(f)
 		r.config.Retry.Succeeded(f.request.Call.Model)
--- a/attempt/stream.go
+++ b/attempt/stream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zinniamast"
+	"zinniamast/quarantine"
 	"zinniamast/request"
 	"zinniamast/silence"
 )
@@ -49,7 +50,7 @@
 			return err
 		}
 		watch.Received()
-		f.run.Wrote()
+		r.recordWriting(f)
 		if err := r.accept(f); err != nil {
 			return err
 		}
@@ -57,6 +58,15 @@
 	}
 }
 
+// recordWriting tells the quarantines that another piece of the answer has arrived.
+func (r *Runner) recordWriting(f *flight) {
+	f.run.Wrote()
+	if !f.isWriting && time.Since(f.began) >= quarantine.WritingTime {
+		f.isWriting = true
+		r.config.Quarantine.AttemptWrites(f.upstream.Instance.ID, f.request.Call.Fingerprint)
+	}
+}
+
 // accept adds the tokens of the current attempt's chunk to the answer. A successor
 // that has not begun is withdrawn, unless it moves the request off a leaving replica.
 func (r *Runner) accept(f *flight) error {
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -48,6 +48,7 @@
 func (noQuarantine) CheckRetry(uint64) (bool, error)           { return false, nil }
 func (noQuarantine) Check(uint64) (bool, error)                { return false, nil }
 func (noQuarantine) ReplicasToAvoid(uint64, []string) []string { return nil }
+func (noQuarantine) AttemptWrites(string, uint64)              {}
 func (noQuarantine) AttemptStarted(string, uint64)             {}
 func (noQuarantine) AttemptEnded(string, uint64, bool)         {}
 func (noQuarantine) ReplicaCrashed(string)                     {}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -144,7 +144,7 @@
 			h.recordStart(c, s)
 		}
 		s.silent, c.metSilence, c.resumeWaits = false, false, 0
-		s.run.Wrote()
+		h.recordWriting(c, s)
 		if !a.begun {
 			h.recordOrigin(c, s.upstream)
 		}
--- a/forward/send.go
+++ b/forward/send.go
@@ -39,6 +39,9 @@
 
 	// began is when the first piece of the answer arrived; zero before that.
 	began time.Time
+	// isWriting reports whether the quarantine knows that the replica has been writing the
+	// answer for a while.
+	isWriting bool
 	// silent reports whether the router has learned that the replica is silent, and
 	// followsAnswer whether another replica had answered with a failure before the send.
 	silent        bool
--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"time"
 
 	"zinniamast"
 	"zinniamast/quarantine"
@@ -27,6 +28,15 @@
 	return nil
 }
 
+// recordWriting tells the quarantines that another piece of the answer has arrived.
+func (h *Handler) recordWriting(c *call, s *send) {
+	s.run.Wrote()
+	if !s.isWriting && time.Since(s.began) >= quarantine.WritingTime {
+		s.isWriting = true
+		h.config.Quarantine.AttemptWrites(s.upstream.Instance.ID, c.fingerprint)
+	}
+}
+
 // recheck refuses a request that has become known to crash replicas since its last send,
 // and records whether it is a suspect.
 func (h *Handler) recheck(c *call) *zinniamast.Refusal {
--- a/policy.go
+++ b/policy.go
@@ -180,6 +180,8 @@
 	// ReplicasToAvoid returns the replicas that a suspect request should avoid, so that its
 	// next run distinguishes it from the other suspects.
 	ReplicasToAvoid(fingerprint uint64, replicas []string) []string
+	// AttemptWrites reports that the replica has been writing the answer for a while.
+	AttemptWrites(upstream string, fingerprint uint64)
 	// AttemptStarted reports that a request is sent to a replica, and AttemptEnded that
 	// the attempt has ended. If isAnswered is true, the replica ran the request and answered it
 	// completely; only this shows that the request does not crash replicas.
--- a/quarantine/avoid.go
+++ b/quarantine/avoid.go
@@ -71,7 +71,7 @@
 	if e.lastCrash == nil {
 		return suspects
 	}
-	for other := range e.lastCrash.running {
+	for other := range e.lastCrash.suspects() {
 		if other != fingerprint && q.evidenceAgainst(other).crashes >= e.crashes {
 			suspects = append(suspects, other)
 		}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -20,8 +20,17 @@
 	// number of those that count as the failure of a whole failure domain.
 	lastInvolved     *crash
 	inDomainFailures int
+	// written is the number of successive crashes of replicas that had been answering the
+	// request for a while, beside others that are likelier to have crashed them.
+	written int
+	// lastReport is when the latest of all these crashes was reported.
+	lastReport time.Time
 }
 
+// maxWritten is the number of successive crashes after which a request is held back although
+// each replica had been answering it for a while.
+const maxWritten = 5
+
 // evidenceAgainst gathers the evidence against a request. The caller holds the lock.
 //
 // Crashes in one failure domain within seconds count once, because a request
@@ -39,9 +48,21 @@
 	cleared := q.clearedAt[fingerprint]
 	freed := q.freed[fingerprint].at
 	counted := map[string]time.Time{}
-	var lastSuccessive time.Time
+	var lastSuccessive, lastWritten time.Time
 	for _, c := range q.crashes {
-		if !c.ran(fingerprint) || c.at.Before(cleared) || !c.running[fingerprint].After(freed) {
+		reported, isSuspect := c.suspects()[fingerprint]
+		if !isSuspect {
+			reported = c.writing[fingerprint]
+		}
+		if c.at.Before(cleared) || !reported.After(freed) {
+			continue
+		}
+		e.lastReport = reported
+		if !isSuspect {
+			if e.written == 0 || c.at.Sub(lastWritten) >= crashReportTimeout {
+				e.written++
+				lastWritten = c.at
+			}
 			continue
 		}
 		if e.involved == 0 || c.at.Sub(lastSuccessive) >= crashReportTimeout {
@@ -85,6 +106,9 @@
 	}
 	threshold := q.config.CrashThreshold()
 	extraCrashes := q.extraCrashes(fingerprint)
+	if e.written >= maxWritten {
+		return true
+	}
 	hasOtherCause := extraCrashes > 0 || e.inDomainFailures > 0
 	if hasOtherCause && e.involved > threshold {
 		equal, stronger := q.suspectsBeside(fingerprint, e)
@@ -95,7 +119,7 @@
 	if e.crashes < threshold+extraCrashes {
 		return false
 	}
-	for other := range e.lastCrash.running {
+	for other := range e.lastCrash.suspects() {
 		if other != fingerprint && q.evidenceAgainst(other).crashes >= e.crashes {
 			return false
 		}
@@ -112,7 +136,7 @@
 // crashed last were in as many successive crashes, and how many in more. The caller holds
 // the lock.
 func (q *Quarantine) suspectsBeside(fingerprint uint64, e evidence) (equal, stronger int) {
-	for other := range e.lastInvolved.running {
+	for other := range e.lastInvolved.suspects() {
 		if other == fingerprint {
 			continue
 		}
--- a/quarantine/log.go
+++ b/quarantine/log.go
@@ -26,7 +26,7 @@
 	}
 	equal := 0
 	if e.lastCrash != nil {
-		for other := range e.lastCrash.running {
+		for other := range e.lastCrash.suspects() {
 			if other != fingerprint && q.evidenceAgainst(other).crashes >= e.crashes {
 				equal++
 			}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -31,9 +31,9 @@
 }
 
 const (
-	// writingTime is how long a replica must have written an answer until that shows that
-	// no part of its prompt crashes replicas.
-	writingTime = 500 * time.Millisecond
+	// WritingTime is how long a replica must have written an answer until that shows that
+	// neither the request nor a part of its prompt crashes replicas when they begin to answer.
+	WritingTime = 500 * time.Millisecond
 	// soundTime is how long before a crash a replica may have begun to write a sound answer
 	// for the parts of its prompt not to be suspects of the crash.
 	soundTime = 2 * time.Second
@@ -269,7 +269,7 @@
 func (p *Parts) suspectsOf(runs map[*partRun]bool, now time.Time) map[uint64]int {
 	suspects := map[uint64]int{}
 	for r := range runs {
-		if r.isProved || !r.began.IsZero() && now.Sub(r.began) >= writingTime {
+		if r.isProved || !r.began.IsZero() && now.Sub(r.began) >= WritingTime {
 			continue
 		}
 		for i, part := range r.parts {
@@ -337,7 +337,7 @@
 		r.began = now
 	}
 	var cleared []uint64
-	if !r.isProved && now.Sub(r.began) >= writingTime {
+	if !r.isProved && now.Sub(r.began) >= WritingTime {
 		cleared = p.prove(r)
 	}
 	p.mu.Unlock()
--- a/quarantine/publish.go
+++ b/quarantine/publish.go
@@ -29,6 +29,10 @@
 	})
 }
 
+// writingKeyPrefix starts the keys of items about requests that a crashed replica had been
+// answering for a while. No replica ID starts with it.
+const writingKeyPrefix = "writing: "
+
 // clearedKeyPrefix starts the keys of items about requests that ended without a
 // crash. No replica ID starts with it.
 const clearedKeyPrefix = "ended well: "
@@ -60,6 +64,10 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if upstream, ok := strings.CutPrefix(item.Key, writingKeyPrefix); ok {
+		q.recordWriting(upstream, running, item.Expires.Add(-crashMergeWindow), item.Origin)
+		return
+	}
 	q.recordCrash(item.Key, running, item.Expires.Add(-crashMergeWindow), item.Origin)
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -75,7 +75,9 @@
 
 // run describes the running requests with one fingerprint on one replica.
 type run struct {
-	count int
+	// count is their number, and writing that of those whose answer the replica has been
+	// writing for a while.
+	count, writing int
 	// firstStart and lastStart are the times at which the first and the last of
 	// these requests started.
 	firstStart, lastStart time.Time
@@ -89,10 +91,22 @@
 	// running holds the fingerprints of the requests that ran on the replica, as
 	// reported by all nodes, with the time of the latest report.
 	running map[uint64]time.Time
+	// writing holds those that the replica had been answering for a while. They are no
+	// suspects while there are others.
+	writing map[uint64]time.Time
 }
 
+// suspects returns the requests that may have crashed the replica.
+func (c *crash) suspects() map[uint64]time.Time {
+	if len(c.running) == 0 {
+		return c.writing
+	}
+	return c.running
+}
+
+// ran reports whether the request is a suspect of the crash.
 func (c *crash) ran(fingerprint uint64) bool {
-	_, ok := c.running[fingerprint]
+	_, ok := c.suspects()[fingerprint]
 	return ok
 }
 
@@ -188,8 +202,8 @@
 		Fingerprint: Fingerprint(fingerprint),
 		Since:       time.Now(),
 		expires:     time.Now().Add(crashRetention),
-		Crashes:     max(e.crashes, e.involved),
-		lastReport:  e.lastInvolved.running[fingerprint],
+		Crashes:     max(e.crashes, e.involved, e.written),
+		lastReport:  e.lastReport,
 	}
 	q.held[fingerprint] = held
 	q.config.Logger.Warn("request held back", "fingerprint", held.Fingerprint, "crashes", held.Crashes,
@@ -230,6 +244,15 @@
 	runs[fingerprint].count++
 }
 
+// AttemptWrites implements zinniamast.Quarantine.
+func (q *Quarantine) AttemptWrites(upstream string, fingerprint uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if r := q.running[upstream][fingerprint]; r != nil {
+		r.writing++
+	}
+}
+
 // AttemptEnded implements zinniamast.Quarantine.
 //
 // An attempt that was refused, failed or was cancelled does not clear a suspect, as its
@@ -274,7 +297,7 @@
 	delete(q.held, fingerprint)
 	delete(q.remoteHeld, fingerprint)
 	for _, c := range q.crashes {
-		if c.ran(fingerprint) {
+		if _, wasWriting := c.writing[fingerprint]; wasWriting || c.ran(fingerprint) {
 			q.clearedAt[fingerprint] = time.Now()
 			break
 		}
@@ -285,6 +308,7 @@
 // endRun removes one request from the running ones. The caller holds the lock.
 func (q *Quarantine) endRun(upstream string, fingerprint uint64, r *run) {
 	r.count--
+	r.writing = min(r.writing, r.count)
 	if r.count > 0 {
 		return
 	}
@@ -309,23 +333,50 @@
 // requests that were running on the replica.
 func (q *Quarantine) ReplicaCrashed(upstream string) {
 	q.mu.Lock()
-	running := make([]uint64, 0, len(q.running[upstream]))
+	var running, writing []uint64
 	for fingerprint, r := range q.running[upstream] {
-		if q.countsAsEvidence(fingerprint, r) {
+		switch {
+		case !q.countsAsEvidence(fingerprint, r):
+		case r.writing == r.count:
+			writing = append(writing, fingerprint)
+		default:
 			running = append(running, fingerprint)
 		}
 	}
-	shouldPublish := q.recordCrash(upstream, running, time.Now(), ownReport) && q.recentCrashes(q.config.FailureDomain(upstream)) <= domainFailureCrashes
+	now := time.Now()
+	isNew := q.recordCrash(upstream, running, now, ownReport)
+	isNewWriting := q.recordWriting(upstream, writing, now, ownReport)
+	isDomainFailure := q.recentCrashes(q.config.FailureDomain(upstream)) > domainFailureCrashes
 	q.mu.Unlock()
-	if shouldPublish && q.config.Gossip != nil {
+	if q.config.Gossip == nil || isDomainFailure {
+		return
+	}
+	if isNew {
 		q.publishCrash(upstream, running)
 	}
+	if isNewWriting {
+		q.publishCrash(writingKeyPrefix+upstream, writing)
+	}
 }
 
 // recordCrash records the requests that a node reports to have run on a crashed
 // replica and reports whether any of them was not recorded before. The caller holds
 // the lock.
 func (q *Quarantine) recordCrash(upstream string, running []uint64, reportedAt time.Time, reporter string) bool {
+	c := q.crashOf(upstream)
+	return q.recordRuns(c, c.running, running, reportedAt, reporter)
+}
+
+// recordWriting is recordCrash for the requests that the replica had been answering for a
+// while. The caller holds the lock.
+func (q *Quarantine) recordWriting(upstream string, writing []uint64, reportedAt time.Time, reporter string) bool {
+	c := q.crashOf(upstream)
+	return q.recordRuns(c, c.writing, writing, reportedAt, reporter)
+}
+
+// crashOf returns the crash to which a report about a replica belongs, which may be a new one.
+// The caller holds the lock.
+func (q *Quarantine) crashOf(upstream string) *crash {
 	now := time.Now()
 	c := q.findRecentCrash(upstream, now)
 	if c == nil {
@@ -334,19 +385,26 @@
 			domain:   q.config.FailureDomain(upstream),
 			at:       now,
 			running:  map[uint64]time.Time{},
+			writing:  map[uint64]time.Time{},
 		}
 		q.crashes = append(q.crashes, c)
 		q.metrics.crashes.Inc()
 	}
-	before := len(c.running)
-	for _, fingerprint := range running {
-		if reportedAt.After(c.running[fingerprint]) {
-			c.running[fingerprint] = reportedAt
+	return c
+}
+
+// recordRuns adds requests to those of a crash, and reports whether any of them is new there.
+// The caller holds the lock.
+func (q *Quarantine) recordRuns(c *crash, known map[uint64]time.Time, fingerprints []uint64, reportedAt time.Time, reporter string) bool {
+	before := len(known)
+	for _, fingerprint := range fingerprints {
+		if reportedAt.After(known[fingerprint]) {
+			known[fingerprint] = reportedAt
 		}
 	}
-	isNew := len(c.running) > before
+	isNew := len(known) > before
 	if isNew {
-		q.logCrash(c, running, reporter)
+		q.logCrash(c, fingerprints, reporter)
 	}
 	return isNew
 }
--- a/services/services_test.go
+++ b/services/services_test.go
@@ -59,6 +59,7 @@
 func (allowAll) Check(uint64) (bool, error)                            { return false, nil }
 func (allowAll) ReplicasToAvoid(uint64, []string) []string             { return nil }
 
+func (allowAll) AttemptWrites(string, uint64)      {}
 func (allowAll) AttemptStarted(string, uint64)     {}
 func (allowAll) AttemptEnded(string, uint64, bool) {}
 func (allowAll) ReplicaCrashed(string)             {}
