Soak crashing prompt parts, and answers that end with their connection

Replicas of the soak answer without framing, with and without a reset at the end, as a further misbehaviour; streams have a prompt with a common part.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -78,6 +79,18 @@
 // requestBody returns the body of the request with this ID.
 func requestBody(id string) string { return "for " + id }
 
+// commonPart is the first part of the prompts of all streams.
+const commonPart = "c0ffee"
+
+// promptOf returns the prompt of the request with this ID: the common part and one of its own
+// for a stream, none for others.
+func promptOf(id, path string) string {
+	if !strings.HasPrefix(path, streamPath) {
+		return ""
+	}
+	return commonPart + ":600," + strings.TrimPrefix(id, "r-") + ":50"
+}
+
 func (c *callerPool) send(client *http.Client, n *node, path string) outcome {
 	o := outcome{
 		id:     c.deployment.newRequestID(),
@@ -113,6 +126,7 @@
 		Key:     key,
 		Budget:  budget,
 		Body:    requestBody(id),
+		Prompt:  promptOf(id, path),
 	}.HTTP()
 	if err != nil {
 		return nil, err
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -139,6 +139,8 @@
 	{OmitStamp: true},
 	{Crossed: true},
 	{CutBody: true},
+	{Unframed: true},
+	{Unframed: true, ResetEnd: true},
 	{Status: http.StatusInternalServerError},
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -95,3 +95,17 @@
 	reachedInstance := s.Requests - s.Unanswered["not connected"]
 	is.New(t).True(float64(s.Served) > 0.95*float64(reachedInstance))
 }
+
+// Guards against requests that share only a part of their prompts and go on crashing replicas, while instances are restarted in turn.
+func TestCrashingPartIsHeldBackWhileInstancesRestart(t *testing.T) {
+	s := soak.RunCrashingPart(t, soak.Config{
+		Seed:      *first,
+		Instances: *size,
+	})
+	t.Logf("%d requests, %d served, %d refused, without answer %v; %v", s.Requests, s.Served, s.Refused, s.Unanswered, s.Faults)
+	for _, line := range s.Violations {
+		t.Error(line)
+	}
+	reachedInstance := s.Requests - s.Unanswered["not connected"]
+	is.New(t).True(float64(s.Served) > 0.95*float64(reachedInstance))
+}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -23,6 +23,8 @@
 	// Budget is the time that the caller waits.
 	Budget time.Duration
 	Body   string
+	// Prompt lists the parts of the prompt; empty for none.
+	Prompt string
 	// Resumes is the ID of the request that brought the first event of a stream that goes on
 	// after an event; empty for a new request.
 	Resumes string
@@ -45,6 +47,9 @@
 	request.Header.Set("Zinniamast-Request-Id", r.ID)
 	request.Header.Set("Zinniamast-Deadline-Ms", strconv.FormatInt(r.Budget.Milliseconds(), 10))
 	request.Header.Set("Api-Key", r.Key)
+	if r.Prompt != "" {
+		request.Header.Set("Zinniamast-Prompt-Prefix", r.Prompt)
+	}
 	if r.Resumes != "" {
 		request.Header.Set("Resumes", r.Resumes)
 		request.Header.Set("Last-Event-Id", r.After)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -79,7 +79,9 @@
 }
 
 // Breaks reports whether answers end before they are complete.
-func (b Behaviour) Breaks() bool { return b.Reset || b.CutBody || b.BreakAfter > 0 }
+func (b Behaviour) Breaks() bool {
+	return b.Reset || b.CutBody || b.BreakAfter > 0 || b.ResetEnd
+}
 
 // Replica is the stand-in.
 type Replica struct {
@@ -89,6 +91,10 @@
 	// of StreamEvents events, regardless of Events and Gap of the behaviour; empty
 	// means none. It is set before the first request.
 	StreamPrefix string
+	// CrashingPart is a part of a prompt with which a request crashes the replica, and Crash
+	// what crashes it. They are set before the first request.
+	CrashingPart string
+	Crash        func()
 	server       *httptest.Server
 
 	mu        sync.Mutex
@@ -199,6 +205,10 @@
 		case <-stop:
 		}
 	}()
+	if r.CrashingPart != "" && strings.Contains(request.Header.Get("Zinniamast-Prompt-Prefix"), r.CrashingPart+":") {
+		r.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	r.answer(w, request, run, b)
 }
 
@@ -231,10 +241,13 @@
 	if !b.OmitStamp {
 		w.Header().Set("Zinniamast-Server-Stamp", "stamp-"+r.ID)
 	}
+	isStream := r.StreamPrefix != "" && strings.HasPrefix(request.URL.Path, r.StreamPrefix)
 	switch {
+	case b.Unframed && isStream:
+		r.writeUnframed(w, request, run, r.streamBehaviour(b))
 	case b.Unframed:
 		r.writeUnframed(w, request, run, b)
-	case r.StreamPrefix != "" && strings.HasPrefix(request.URL.Path, r.StreamPrefix):
+	case isStream:
 		r.stream(w, request, r.streamBehaviour(b))
 	case b.Events > 0:
 		r.stream(w, request, b)
