--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 
 	"zinniamast/quarantine"
@@ -36,3 +37,18 @@
 		q.AttemptEnded("r", 1, true)
 	}
 }
+
+// BenchmarkPartAttempt measures what an attempt of a request with three parts costs, after ten
+// crashes.
+func BenchmarkPartAttempt(b *testing.B) {
+	b.ReportAllocs()
+	n := newPartNodes(1)[0]
+	for i := range 10 {
+		n.crash(fmt.Sprint(i, "/1"), commonPart, uint64(1000+i))
+	}
+	parts := []uint64{commonPart, newPart, nextPart}
+	for b.Loop() {
+		_, _ = n.Check(parts)
+		n.answer("a/1", parts...)
+	}
+}
