Let a suspect use other replicas if those left for suspects take none

A request with a part that stood in a crash, sound or not, was refused if neither of the two replicas that suspects use could take it: full, limited or with an open circuit. It uses the others then. TestSuspectPartUsesOtherReplicasIfItsOwnTakeNone fails without it.

--- a/forward/prompt_part_test.go
+++ b/forward/prompt_part_test.go
@@ -1,11 +1,16 @@
 package forward_test
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"zinniamast"
 )
 
 // The parts of the prompts of a fleet.
@@ -171,3 +176,18 @@
 		})
 	}
 }
+
+// Guards against refusing a sound request whose new part stood in a crash, because the replicas left for suspects take none.
+func TestSuspectPartUsesOtherReplicasIfItsOwnTakeNone(t *testing.T) {
+	for part := range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			breaksOff := func(_ context.Context, r *scripted, _ *http.Request, _ int) (*http.Response, error) {
+				return nil, r.failure(zinniamast.FailureReset, io.ErrUnexpectedEOF)
+			}
+			o := newOverlap(t, 6, 3, breaksOff, goesOn(0, takeoverEvents, 0))
+			o.ids = []string{"i-a", "i-b"} // The router finds no other replica.
+			prompt := fmt.Sprintf("%s:600,5eed%d:100,1:50", commonPart, part)
+			o.is.Equal(o.callWithPrompt(pathResumable, "r-1", prompt).body, events(takeoverEvents))
+		})
+	}
+}
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -43,7 +43,7 @@
 		if refusal := h.recheck(c); refusal != nil {
 			return routed{}, refusal
 		}
-		to, refusal := h.choose(c, h.avoided(c))
+		to, refusal := h.chooseApart(c)
 		switch {
 		case refusal != nil && !(c.mayResume(a) && h.hasReplica(c)):
 			return routed{}, refusal
--- a/forward/stage_test.go
+++ b/forward/stage_test.go
@@ -366,7 +366,10 @@
 }
 
 // call sends a request and returns what the caller gets.
-func (s *stage) call(path, id string) (o outcome) {
+func (s *stage) call(path, id string) (o outcome) { return s.callWithPrompt(path, id, "") }
+
+// callWithPrompt is call for a request whose prompt has parts.
+func (s *stage) callWithPrompt(path, id, prompt string) (o outcome) {
 	method := http.MethodPost
 	if path == pathSafe {
 		method = http.MethodGet
@@ -376,6 +379,7 @@
 	request.Header.Set("Zinniamast-Request-Id", id)
 	request.Header.Set("Zinniamast-Deadline-Ms", strconv.FormatInt(callerTime.Milliseconds(), 10))
 	request.Header.Set("Api-Key", key)
+	request.Header.Set("Zinniamast-Prompt-Prefix", prompt)
 	recorder := httptest.NewRecorder()
 	defer func() {
 		cause, _ := recover().(error)
--- a/forward/suspects.go
+++ b/forward/suspects.go
@@ -68,6 +68,16 @@
 	return slices.Concat(c.avoid, avoid, h.config.Parts.ReplicasToAvoid(c.parts, replicas))
 }
 
+// chooseApart chooses the replica for the next send. A suspect that finds none among those that
+// are left for it may use the others.
+func (h *Handler) chooseApart(c *call) (routed, *zinniamast.Refusal) {
+	to, refusal := h.choose(c, h.avoided(c))
+	if refusal != nil && c.isSuspect {
+		return h.choose(c, c.avoid)
+	}
+	return to, refusal
+}
+
 // maxLoggedParts limits the parts of a prompt in one line of the log.
 const maxLoggedParts = 8
 
