--- a/quarantine/part_gossip.go
+++ b/quarantine/part_gossip.go
@@ -158,19 +158,16 @@
 		return // The other node has withdrawn its verdict.
 	}
 	held.expires = item.Expires
+	var cancels []func()
 	p.mu.Lock()
 	p.recordRemoteHeld(held)
-	cancels := p.takeCancels(held, p.isHeld(held.Key()))
+	if _, isHeld := p.held[key]; isHeld {
+		cancels = p.takeCancels(held)
+	}
 	p.mu.Unlock()
 	runAll(cancels)
 }
 
-// isHeld reports whether a set of parts is held back. The caller holds the lock.
-func (p *Parts) isHeld(key string) bool {
-	_, ok := p.held[key]
-	return ok
-}
-
 // logCrash logs the suspects that a node reports of a crash. The caller holds the lock.
 func (p *Parts) logCrash(c *partCrash, suspects map[uint64]int, reporter string) {
 	logged := make([]Part, 0, maxLoggedFingerprints)
--- a/quarantine/part_held.go
+++ b/quarantine/part_held.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -89,10 +90,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropExpired(time.Now())
-	all := make([]HeldParts, 0, len(p.held))
-	for _, held := range p.held {
-		all = append(all, held)
-	}
+	all := slices.Collect(maps.Values(p.held))
 	slices.SortFunc(all, func(a, b HeldParts) int {
 		return cmp.Or(a.Since.Compare(b.Since), strings.Compare(a.Key(), b.Key()))
 	})
@@ -201,7 +199,10 @@
 	now := time.Now()
 	part := uint64(free.Part)
 	p.mu.Lock()
-	isHeld := slices.ContainsFunc(p.heldList(), func(h HeldParts) bool { return h.contains(part) })
+	isHeld := false
+	for _, held := range p.held {
+		isHeld = isHeld || held.contains(part)
+	}
 	if !isHeld && p.evidenceAgainst(part).depth == 0 {
 		p.mu.Unlock()
 		return ErrPartNotHeld
@@ -213,15 +214,6 @@
 	return nil
 }
 
-// heldList returns the held parts in no order. The caller holds the lock.
-func (p *Parts) heldList() []HeldParts {
-	all := make([]HeldParts, 0, len(p.held))
-	for _, held := range p.held {
-		all = append(all, held)
-	}
-	return all
-}
-
 // markFreed records that a part was freed. The caller holds the lock.
 func (p *Parts) markFreed(free FreePart, at time.Time) {
 	part := uint64(free.Part)
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -117,7 +118,10 @@
 		isHeld = isNew
 	}
 	alone = !isHeld && p.hasSuspect(parts)
-	cancels := p.takeCancels(held, isNew)
+	var cancels []func()
+	if isNew {
+		cancels = p.takeCancels(held)
+	}
 	p.mu.Unlock()
 	if isNew {
 		p.publishHeld(held)
@@ -126,7 +130,7 @@
 	if isHeld {
 		p.metrics.refused.Inc()
 		return false, zinniamast.Refuse(zinniamast.ReasonQuarantined,
-			"%d replicas died when they began to answer prompts with the part %s; it is held back until an operator has looked at it",
+			"%d replicas crashed when they began to answer prompts with the part %s; it is held back",
 			held.Crashes, held.Key()).WithRetryAfter(max(time.Second, held.expires.Sub(now)))
 	}
 	if alone {
@@ -171,22 +175,12 @@
 		usable = slices.Clone(replicas)
 	}
 	slices.SortFunc(usable, func(a, b string) int {
-		return compareUint64(xxh3.HashStringSeed(a, suspect), xxh3.HashStringSeed(b, suspect))
+		return cmp.Compare(xxh3.HashStringSeed(a, suspect), xxh3.HashStringSeed(b, suspect))
 	})
 	usable = usable[:min(len(usable), suspectReplicas+p.unanswered(suspect)/2)]
 	return slices.DeleteFunc(slices.Clone(replicas), func(id string) bool { return slices.Contains(usable, id) })
 }
 
-func compareUint64(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // unanswered returns the number of this node's runs with a part that have shown nothing yet.
 // The caller holds the lock.
 func (p *Parts) unanswered(part uint64) int {
@@ -244,15 +238,13 @@
 		p.logCrash(c, suspects, ownReport)
 	}
 	var verdicts []HeldParts
+	var cancels []func()
 	for r := range runs {
 		if held, ok := p.holdCulprit(r.parts, now); ok {
 			verdicts = append(verdicts, held)
+			cancels = append(cancels, p.takeCancels(held)...)
 		}
 	}
-	var cancels []func()
-	for _, held := range verdicts {
-		cancels = append(cancels, p.takeCancels(held, true)...)
-	}
 	p.mu.Unlock()
 	if shouldPublish {
 		p.publishCrash(upstream, suspects)
@@ -288,11 +280,8 @@
 
 // takeCancels returns the functions that cancel the runs of this node that a verdict holds
 // back and whose replicas have not begun to answer. The caller holds the lock.
-func (p *Parts) takeCancels(held HeldParts, isNew bool) []func() {
+func (p *Parts) takeCancels(held HeldParts) []func() {
 	var cancels []func()
-	if !isNew {
-		return nil
-	}
 	for _, runs := range p.running {
 		for r := range runs {
 			if r.began.IsZero() && r.cancel != nil && held.isIn(r.parts) {
--- a/soak/part.go
+++ b/soak/part.go
@@ -142,7 +142,7 @@
 func crashingRuns(r *replica.Replica, after time.Time) int {
 	count := 0
 	for _, run := range r.Runs() {
-		if run.Received.After(after) && strings.Contains(run.Header.Get("Zinniamast-Prompt-Prefix"), crashingPart+":") {
+		if run.Received.After(after) && run.HasPart(crashingPart) {
 			count++
 		}
 	}
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -32,6 +32,11 @@
 	Disconnected chan struct{}
 }
 
+// HasPart reports whether the request's prompt has a part.
+func (r *Run) HasPart(part string) bool {
+	return strings.Contains(r.Header.Get("Zinniamast-Prompt-Prefix"), part+":")
+}
+
 // Behaviour determines how a request is answered; the zero value sends a whole
 // answer.
 type Behaviour struct {
@@ -205,7 +210,7 @@
 		case <-stop:
 		}
 	}()
-	if r.CrashingPart != "" && strings.Contains(request.Header.Get("Zinniamast-Prompt-Prefix"), r.CrashingPart+":") {
+	if r.CrashingPart != "" && run.HasPart(r.CrashingPart) {
 		r.Crash()
 		panic(http.ErrAbortHandler)
 	}
