Refuse new connections only during an overload, not after a pause

Cause: one long wait was taken for an overload. After a pause of the process, or of its machine, the first waits are long although it reads the next connections in time.

Change: waits must have been too long for 200 ms. So that the start of an overload does not take in more than it can serve, at most 32 connections instead of 64 wait to be read.

TestNothingIsRefusedAfterPause fails without the change. Tried: 300 and 500 ms, or 64 and 128 connections: more is read at the start than is served in time.

--- a/overload/gate.go
+++ b/overload/gate.go
@@ -16,7 +16,10 @@
 	// A request waits for the processor several times before its first event, and callers
 	// want that within some hundred milliseconds.
 	defaultMaxWait    = 50 * time.Millisecond
-	defaultMaxWaiting = 64
+	defaultMaxWaiting = 32
+	// overloadTime is how long waits must have been too long: after a pause of the process
+	// the first ones are, although it can read the others in time.
+	overloadTime = 200 * time.Millisecond
 	// measuredFor is how long a measured wait tells how long the next one will be.
 	measuredFor = 100 * time.Millisecond
 	// logInterval is the time between two lines of the log about refused connections.
@@ -26,9 +29,10 @@
 // Config configures a Gate.
 type Config struct {
 	// MaxWait is the wait between the acceptance of a connection and the first read from it
-	// from which further connections are refused. Zero means 50 ms.
+	// above which further connections are refused, if it has been so long for a while. Zero
+	// means 50 ms.
 	MaxWait time.Duration
-	// MaxWaiting bounds the accepted connections that nobody has begun to read. Zero means 64.
+	// MaxWaiting bounds the accepted connections that nobody has begun to read. Zero means 32.
 	MaxWaiting int
 	// Logger logs that connections are refused, at most once a second; nil means slog's
 	// default.
@@ -50,6 +54,8 @@
 	// wait is the wait of the connection that was read last, at measuredAt.
 	wait       time.Duration
 	measuredAt time.Time
+	// overSince is when waits began to be too long; zero while they are not.
+	overSince time.Time
 	// refusals counts the refused connections since the last line of the log, at loggedAt.
 	refusals int
 	loggedAt time.Time
@@ -104,16 +110,27 @@
 	return t, true
 }
 
-// mayTake reports whether a connection would be read in time. After a long wait, one
-// connection at a time shows whether the next ones would be. The caller holds the lock.
+// mayTake reports whether a connection would be read in time. During an overload, one
+// connection at a time shows whether it has passed. The caller holds the lock.
 func (g *Gate) mayTake(now time.Time) bool {
-	switch {
-	case g.unread == 0:
-		return g.wait <= g.config.MaxWait || now.Sub(g.measuredAt) >= measuredFor
-	case g.unread >= g.config.MaxWaiting, g.wait > g.config.MaxWait:
+	if g.unread >= g.config.MaxWaiting {
 		return false
 	}
-	return now.Sub(g.waiting[0].accepted) <= g.config.MaxWait
+	if g.unread > 0 {
+		g.observe(now.Sub(g.waiting[0].accepted), now)
+	}
+	if g.overSince.IsZero() || now.Sub(g.overSince) < overloadTime {
+		return true
+	}
+	return g.unread == 0 && now.Sub(g.measuredAt) >= measuredFor
+}
+
+// observe records since when waits have been too long. A connection that still waits may
+// only show that they are. The caller holds the lock.
+func (g *Gate) observe(wait time.Duration, now time.Time) {
+	if wait > g.config.MaxWait && g.overSince.IsZero() {
+		g.overSince = now
+	}
 }
 
 // recordRefusal counts and logs a refused connection. The caller holds the lock.
@@ -139,4 +156,8 @@
 	g.unread--
 	g.measuredAt = time.Now()
 	g.wait = g.measuredAt.Sub(t.accepted)
+	if g.wait <= g.config.MaxWait {
+		g.overSince = time.Time{}
+	}
+	g.observe(g.wait, g.measuredAt)
 }
--- a/overload/gate_test.go
+++ b/overload/gate_test.go
@@ -191,6 +191,39 @@
 	})
 }
 
+// Guards against refusing callers because the process was paused for a moment.
+func TestNothingIsRefusedAfterPause(t *testing.T) {
+	cases := []struct {
+		pause     time.Duration
+		perSecond int
+	}{
+		{
+			pause:     150 * time.Millisecond,
+			perSecond: capacity / 2,
+		},
+		{
+			pause:     time.Second,
+			perSecond: capacity / 10,
+		},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			n := &instance{
+				gate: newGate(),
+			}
+			go func() {
+				for range 3 {
+					time.Sleep(2 * time.Second)
+					n.processor.use(c.pause)
+				}
+			}()
+			n.play(c.perSecond, 10*time.Second)
+			is.Equal(n.refused, 0)
+		})
+	}
+}
+
 // Guards against an instance that goes on refusing after an overload.
 func TestConnectionsAreTakenAgainAfterOverload(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
