--- a/overload/gate_test.go
+++ b/overload/gate_test.go
@@ -1,6 +1,7 @@
 package overload_test
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -163,21 +164,26 @@
 func TestRequestsThatAreReadAreServedUnderOverload(t *testing.T) {
 	const length = 10 * time.Second
 	for _, times := range []int{2, 6, 12} {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			n := &instance{
-				gate: newGate(),
-			}
-			n.play(times*capacity, length)
-			t.Logf("%d times the capacity of %d a second: %d refused, %d abandoned, %d read, %d in time", times, capacity, n.refused, n.abandoned, n.read, n.inTime)
-			is.True(n.abandoned == 0)
-			is.True(float64(n.inTime) >= 0.95*float64(n.read)) // what is read is served
-			left := length - time.Duration(n.refused)*(acceptWork+refuseWork)
-			is.True(float64(n.inTime) >= 0.8*float64(capacity)*left.Seconds()) // it refuses no more than it has to
+		t.Run(fmt.Sprint(times, " times"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playOverload(t, times, length) })
 		})
 	}
 }
 
+// playOverload plays an instance that gets more new connections than it can serve, by a factor.
+func playOverload(t *testing.T, times int, length time.Duration) {
+	is := is.New(t)
+	n := &instance{
+		gate: newGate(),
+	}
+	n.play(times*capacity, length)
+	t.Logf("%d times the capacity of %d a second: %d refused, %d abandoned, %d read, %d in time", times, capacity, n.refused, n.abandoned, n.read, n.inTime)
+	is.True(n.abandoned == 0)
+	is.True(float64(n.inTime) >= 0.95*float64(n.read)) // what is read is served
+	left := length - time.Duration(n.refused)*(acceptWork+refuseWork)
+	is.True(float64(n.inTime) >= 0.8*float64(capacity)*left.Seconds()) // it refuses no more than it has to
+}
+
 // Guards against refusing connections that the instance could serve.
 func TestNothingIsRefusedBelowCapacity(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
