Bound what each instance handles of a large fleet's replicas

Seen from outside at 300 instances and 3,002 replicas: the start alone took 600 s of processor time, 327 KB a second arrived at the middle instance.

Change: a list is added at once and logged as one; a reader passes on only entries that say something new; a reader asks at most 60 replicas in 0.3 s, in turns, and the router learns how often a replica is heard of before it takes it for silent. With up to 60 replicas in a failure domain nothing changes.

Tests: TestHeartbeatsAreNotPassedOn (51 of 51 entries before), TestManyReplicasAreReadInTurns (21 readings of each before), TestReplicasThatAreReadInTurnsAreNotSilent.

--- a/registry/follower.go
+++ b/registry/follower.go
@@ -288,6 +288,7 @@
 // from an outage of the store.
 func (f *Follower) applyReplicas(changes ReplicaChanges, whole, afterOutage bool) {
 	listed := map[string]bool{}
+	var started, present []*Replica
 	// If an entry lapsed and came back in one answer, its last change counts.
 	var missing []string
 	for _, change := range changes.Changes {
@@ -305,7 +306,14 @@
 			continue
 		}
 		missing = slices.DeleteFunc(missing, func(id string) bool { return id == change.ID })
-		f.handleListed(change.Replica)
+		if f.isNewStart(change.Replica) {
+			started = append(started, change.Replica)
+		}
+		present = append(present, change.Replica)
+	}
+	f.addAll(started, whole)
+	for _, r := range present {
+		f.handleListed(r)
 	}
 	if whole {
 		missing = append(missing, f.unlisted(listed, changes.Position)...)
@@ -325,37 +333,56 @@
 	return missing
 }
 
-// handleListed applies an entry that names a replica.
+// isNewStart reports whether an entry names a start of a replica that is not in the table.
+func (f *Follower) isNewStart(r *Replica) bool {
+	known := f.config.Upstreams.Get(r.ID)
+	return known == nil || !known.Instance.Started.Equal(r.Started) || known.Instance.Address != r.Address
+}
+
+// handleListed applies an entry that names a replica of the table.
 func (f *Follower) handleListed(r *Replica) {
 	delete(f.lapseDeadlines, r.ID)
-	known := f.config.Upstreams.Get(r.ID)
-	same := known != nil && known.Instance.Started.Equal(r.Started) && known.Instance.Address == r.Address
-	if !same {
-		f.add(r)
+	if f.isNewStart(r) {
+		return // A later change of the same answer names another start.
 	}
 	if r.Draining {
 		f.markLeaving(r.ID, r.LeavesIn)
 		return
 	}
-	if _, wasRemoved := f.removedAt[r.ID]; same && wasRemoved {
+	if _, wasRemoved := f.removedAt[r.ID]; wasRemoved {
 		f.config.Logger.Info("replica readmitted", "replica", r.ID)
 		f.config.Upstreams.Readmit(r.ID)
 	}
 	delete(f.removedAt, r.ID)
 }
 
-// add adds a new start of a replica. It replaces an earlier start under the same
-// ID.
-func (f *Follower) add(r *Replica) {
-	if f.config.Upstreams.Get(r.ID) != nil {
-		f.config.Upstreams.Remove(r.ID)
+// addAll adds new starts of replicas at once. They replace earlier starts under the same
+// IDs. If whole is set, they come from a full list, which is logged as one.
+func (f *Follower) addAll(started []*Replica, whole bool) {
+	level := slog.LevelInfo
+	if whole {
+		level = slog.LevelDebug
 	}
-	f.config.Upstreams.Readmit(r.ID)
+	var upstreams []*blackboard.Upstream
+	for _, r := range started {
+		if f.config.Upstreams.Get(r.ID) != nil {
+			f.config.Upstreams.Remove(r.ID)
+		}
+		delete(f.removedAt, r.ID)
+		f.config.Upstreams.Readmit(r.ID)
+		upstreams = append(upstreams, f.newUpstream(r))
+		f.config.Logger.Log(context.Background(), level, "replica added", "replica", r.ID, "service", r.Service,
+			"failure_domain", r.FailureDomain, "version", r.Version, "draining", r.Draining)
+	}
+	f.config.Upstreams.AddAll(upstreams)
+}
+
+func (f *Follower) newUpstream(r *Replica) *blackboard.Upstream {
 	market := zinniamast.OnDemand
 	if r.Reclaimable {
 		market = zinniamast.Reclaimable
 	}
-	f.config.Upstreams.Add(&blackboard.Upstream{
+	return &blackboard.Upstream{
 		Instance: zinniamast.Instance{
 			ID:            r.ID,
 			FailureDomain: r.FailureDomain,
@@ -367,9 +394,7 @@
 		},
 		Replica: f.config.Build(r.ID, r.Address),
 		Slots:   r.Slots,
-	})
-	f.config.Logger.Info("replica added", "replica", r.ID, "service", r.Service,
-		"failure_domain", r.FailureDomain, "version", r.Version, "draining", r.Draining)
+	}
 }
 
 // markLeaving marks a replica as leaving, so that it takes no new requests. It goes
--- a/registry/follower_test.go
+++ b/registry/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"testing"
@@ -315,3 +316,26 @@
 	f.store.PutJSON("servers", "i-1", readyEntry(2))
 	f.eventually(time.Second, "new start", f.isAccepting("i-1"))
 }
+
+// Guards against nodes that each receive and apply every heartbeat of every replica.
+func TestHeartbeatsAreNotPassedOn(t *testing.T) {
+	f := newFixture(t)
+	f.store.Put("op", "config", []byte(`{"version":1}`))
+	for i := range 50 {
+		f.store.PutJSON("servers", fmt.Sprint("i-", i), readyEntry(1))
+	}
+	f.eventually(3*time.Second, "all replicas are known", func() bool { return len(f.upstreams.All()) == 50 })
+	position := uint64(0)
+	for _, row := range f.store.Rows("servers", "") {
+		position = max(position, row.Ver)
+	}
+	for i := range 50 {
+		f.store.PutJSON("servers", fmt.Sprint("i-", i), readyEntry(1)) // the same again
+	}
+	f.store.PutJSON("servers", "i-7", drainingEntry(1))
+	f.eventually(3*time.Second, "the leaving replica is known", func() bool { return f.upstreams.Get("i-7").Leaving() })
+	changes, err := f.follower.ReplicasAfter(t.Context(), position, 0)
+	f.is.NoErr(err)
+	f.is.Equal(len(changes.Changes), 1)
+	f.is.Equal(changes.Changes[0].ID, "i-7")
+}
--- a/registry/peer_feed.go
+++ b/registry/peer_feed.go
@@ -49,13 +49,26 @@
 	}
 }
 
-// put stores the newest change of an entry.
+// put stores the newest change of an entry. Replicas rewrite their entries every second or
+// so; a change that says nothing new is not passed on, as each of many nodes would otherwise
+// receive and apply those of all replicas.
 func (p *peerFeed) put(change ReplicaChange) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if known, ok := p.entries[change.ID]; ok && known.saysTheSame(change) {
+		return
+	}
 	p.entries[change.ID] = change
 }
 
+// saysTheSame reports whether two changes of an entry describe the same replica.
+func (c ReplicaChange) saysTheSame(other ReplicaChange) bool {
+	if c.Replica == nil || other.Replica == nil || c.Unreadable != other.Unreadable {
+		return false
+	}
+	return *c.Replica == *other.Replica
+}
+
 // removedEntryPositions is the number of positions for which removed entries are
 // retained; a peer that is further behind reads the full list.
 const removedEntryPositions = 5000
--- a/reports/reader.go
+++ b/reports/reader.go
@@ -1,7 +1,9 @@
 package reports
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +19,10 @@
 	// frequent readings would add little. Each reading costs as much as a health
 	// check.
 	readInterval = 300 * time.Millisecond
+	// maxReadsPerRound bounds the replicas that are read in one interval. If a failure domain
+	// has more, they are read in turns: the reader's work and what all nodes receive would
+	// otherwise grow with the fleet.
+	maxReadsPerRound = 60
 	// readTimeout bounds one reading; a later answer would be outdated.
 	readTimeout = 250 * time.Millisecond
 	// concurrentReads bounds the connections open for readings at one time.
@@ -26,16 +32,37 @@
 	reportLag = 100 * time.Millisecond
 )
 
-// readAll reads the replicas of this failure domain.
+// turn returns the replicas of this failure domain that are read in the next round.
+func (s *Sharer) turn() []*blackboard.Upstream {
+	var all []*blackboard.Upstream
+	for _, u := range s.config.Upstreams.All() {
+		if u.Leaving() || u.Instance.FailureDomain != s.config.FailureDomain || s.config.IsPlain(u.Instance.Service) {
+			continue
+		}
+		all = append(all, u)
+	}
+	if len(all) <= maxReadsPerRound {
+		return all
+	}
+	slices.SortFunc(all, func(a, b *blackboard.Upstream) int { return cmp.Compare(a.Instance.ID, b.Instance.ID) })
+	first, _ := slices.BinarySearchFunc(all, s.lastRead, func(u *blackboard.Upstream, id string) int {
+		return cmp.Compare(u.Instance.ID, id+"\x00")
+	})
+	next := make([]*blackboard.Upstream, 0, maxReadsPerRound)
+	for i := range maxReadsPerRound {
+		next = append(next, all[(first+i)%len(all)])
+	}
+	s.lastRead = next[len(next)-1].Instance.ID
+	return next
+}
+
+// readAll reads the replicas of this failure domain, or a part of them if they are many.
 func (s *Sharer) readAll(ctx context.Context) {
 	var mu sync.Mutex
 	var read []Report
 	var group errgroup.Group
 	group.SetLimit(concurrentReads)
-	for _, u := range s.config.Upstreams.All() {
-		if u.Leaving() || u.Instance.FailureDomain != s.config.FailureDomain || s.config.IsPlain(u.Instance.Service) {
-			continue
-		}
+	for _, u := range s.turn() {
 		group.Go(func() error {
 			report, ok := s.read(ctx, u)
 			if ok {
--- a/reports/reports_test.go
+++ b/reports/reports_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -76,6 +77,7 @@
 
 // deployment is a number of nodes in two failure domains, with a replica in each.
 type deployment struct {
+	board    *blackboard.Board
 	nodes    []*node
 	replicas *replicas
 }
@@ -133,6 +135,7 @@
 		},
 	}
 	board := blackboard.New()
+	d.board = board
 	domains := []string{"burnaby-a", "surrey-b"}
 	for _, domain := range domains {
 		board.Upstreams.Add(&blackboard.Upstream{
@@ -309,3 +312,29 @@
 	check.Equal(answer.Reports[0].Running, 5)
 	check.Equal(len(board.Since(t.Context(), "", answer.Position, 0).Reports), 0)
 }
+
+// Guards against a reader whose work grows with the replicas of its failure domain, and replicas that are never read.
+func TestManyReplicasAreReadInTurns(t *testing.T) {
+	runDeployment(t, 1, func(check *is.I, d *deployment) {
+		const count = 300
+		for i := range count {
+			d.board.Upstreams.Add(&blackboard.Upstream{
+				Instance: zinniamast.Instance{
+					ID:            fmt.Sprint("many-", i),
+					FailureDomain: "burnaby-a",
+					Service:       "models",
+				},
+			})
+		}
+		time.Sleep(6 * time.Second)
+		d.replicas.mu.Lock()
+		defer d.replicas.mu.Unlock()
+		sum := 0
+		for i := range count {
+			readings := d.replicas.readings[fmt.Sprint("many-", i)]
+			sum += readings
+			check.True(readings >= 3 && readings <= 5)
+		}
+		check.True(sum <= 6*250) // readings in six seconds
+	})
+}
--- a/reports/share.go
+++ b/reports/share.go
@@ -68,6 +68,8 @@
 type Sharer struct {
 	config Config
 	board  *Board
+	// lastRead is the ID of the replica that was read last, if they are read in turns.
+	lastRead string
 }
 
 // New returns a sharer without any reports; Run starts it.
--- a/routing/report.go
+++ b/routing/report.go
@@ -19,6 +19,7 @@
 		return
 	}
 	p.reportGroup.newestReport = later(p.reportGroup.newestReport, report.At)
+	p.reportGroup.learnInterval(p.report.at, report.At)
 	running, queued := p.own.countsAt(report.At)
 	p.report = residualReport{
 		at:           report.At,
@@ -32,6 +33,30 @@
 // are compared by age.
 type reportGroup struct {
 	newestReport time.Time
+	// interval is the usual time between two reports of a replica; large groups are read in
+	// turns.
+	interval time.Duration
+}
+
+const (
+	// intervalWeight is the weight of a new observation in reportGroup.interval, and
+	// silentIntervals the number of intervals after which a replica may count as silent.
+	intervalWeight  = 0.05
+	silentIntervals = 2.5
+)
+
+// learnInterval learns from two successive reports of a replica.
+func (g *reportGroup) learnInterval(last, next time.Time) {
+	if last.IsZero() {
+		return
+	}
+	observed := next.Sub(last)
+	if g.interval == 0 {
+		g.interval = observed
+	}
+	// A replica that was silent for long says little about the interval.
+	observed = min(observed, 2*g.interval)
+	g.interval += time.Duration(intervalWeight * float64(observed-g.interval))
 }
 
 // reportGroupKey identifies a reportGroup.
@@ -63,7 +88,8 @@
 	if r.config.SilentAfter == 0 || p.report.at.IsZero() {
 		return false
 	}
-	return p.reportGroup.newestReport.Sub(p.report.at) > r.config.SilentAfter
+	limit := max(r.config.SilentAfter, time.Duration(silentIntervals*float64(p.reportGroup.interval)))
+	return p.reportGroup.newestReport.Sub(p.report.at) > limit
 }
 
 func later(a, b time.Time) time.Time {
--- a/routing/silent_test.go
+++ b/routing/silent_test.go
@@ -69,3 +69,50 @@
 	check.NoErr(err)
 	check.Equal(choice.Upstream, "dark")
 }
+
+// Guards against replicas that count as silent because so many are read in turns that each is read rarely.
+func TestReplicasThatAreReadInTurnsAreNotSilent(t *testing.T) {
+	check := is.New(t)
+	clock := newFakeClock()
+	board := blackboard.New()
+	ids := []string{"a", "b", "c", "d"}
+	for _, id := range ids {
+		board.Upstreams.Add(&blackboard.Upstream{
+			Instance: zinniamast.Instance{
+				ID:            id,
+				FailureDomain: domains[0],
+				Service:       "service",
+			},
+			Replica: passthroughReplica{},
+			Slots:   16,
+		})
+	}
+	router := routing.New(routing.Config{
+		Board:         board,
+		Node:          "node",
+		FailureDomain: domains[0],
+		SilentAfter:   time.Second,
+		Now:           clock.Now,
+	})
+	request := &zinniamast.RouteRequest{
+		Service:      "service",
+		PromptTokens: 500,
+	}
+	_, err := router.Route(request)
+	check.NoErr(err)
+	for i := range 40 {
+		clock.advance(time.Second)
+		running := 8
+		if ids[i%len(ids)] == "a" {
+			running = 0
+		}
+		router.RecordReport(ids[i%len(ids)], zinniamast.LoadReport{
+			At:      clock.Now(),
+			Running: running,
+		})
+	}
+	// The report on a, which is idle, is three seconds older than the newest.
+	choice, err := router.Route(request)
+	check.NoErr(err)
+	check.Equal(choice.Upstream, "a")
+}
