Roll a service's software versions out gradually

What was seen: nothing read the operators' orders (op/rollout/SERVICE), nothing answered them, and a new version got its share of all requests from its first second.

Change: package canary. The holder of the duties' lease grants the new version a share, a trial first, then a quarter, a half, all; all nodes count the answers of both versions, and whoever has the counts condemns a bad one and tells the others. Replicas of a version that is new to a node get nothing until the node knows all orders that may name it. Replicas are ordered for one fleet.

--- a/blackboard/upstreams.go
+++ b/blackboard/upstreams.go
@@ -24,6 +24,9 @@
 	// Slots is the number of requests that the replica reports to run at once; zero
 	// if unknown.
 	Slots int
+	// Revision is the platform's revision at which this node first saw the replica; zero if
+	// the platform has none.
+	Revision uint64
 
 	leaving  atomic.Bool
 	leavesAt atomic.Int64
@@ -34,12 +37,18 @@
 func (u *Upstream) Leaving() bool { return u.leaving.Load() }
 
 // Accepts reports whether the replica may get a request: it is not leaving, the request does
-// not avoid it, and a request that goes on with a stream began at its software version. All
-// ways by which a request changes its replica ask it.
+// not avoid it or its software version, and a request that goes on with a stream began at
+// that version. All ways by which a request changes its replica ask it.
 func (u *Upstream) Accepts(request *zinniamast.RouteRequest) bool {
 	if u.Leaving() || request.Resumes && request.Version != u.Instance.Version {
 		return false
 	}
+	if slices.Contains(request.AvoidVersions, u.Instance.Version) {
+		return false
+	}
+	if len(request.Only) > 0 && !slices.Contains(request.Only, u.Instance.ID) {
+		return false
+	}
 	return !slices.Contains(request.Avoid, u.Instance.ID)
 }
 
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -66,6 +66,7 @@
 func (e *Entry) buildFollower() {
 	s := e.config.Settings
 	store := platform.NewStore(s.StoreAddress)
+	e.store = store
 	store.OnClock(e.clock.ObserveStoreTime)
 	store.OnCall(newStoreMetrics(e.registry).observe)
 	e.table = platform.NewTable(store)
@@ -77,6 +78,7 @@
 		Routes:    e.routes,
 		Upstreams: e.board.Upstreams,
 		Build:     e.newReplica,
+		OnOrder:   func(order zinniamast.RolloutOrder) { e.rollouts.SetOrder(order) },
 		Logger:    e.config.Logger,
 	})
 	e.roster = roster.New(roster.Config{
@@ -138,8 +140,10 @@
 		Lease:          e.lease,
 		Duties:         duties,
 		FailureDomains: s.FailureDomains,
+		Rollouts:       e.rollouts,
 		Logger:         e.config.Logger,
 	})
+	e.buildRolloutLeader(e.store)
 	return e.peerServer.RegisterPeer(usageName, &UsageReceiver{counter: e.usage})
 }
 
@@ -242,6 +246,7 @@
 		Quarantine:    e.quarantine,
 		Parts:         e.parts,
 		Origins:       e.origins,
+		Rollouts:      e.rollouts,
 		Meter:         e.usage,
 		Demand:        e.demand,
 		Closing:       e.closing.Load,
@@ -293,6 +298,7 @@
 		e.reporter.Run,
 		e.scaling.Run,
 		e.versions.Run,
+		e.rolloutLeader.Run,
 	}
 }
 
@@ -310,6 +316,7 @@
 		e.parts.Run,
 		e.origins.Run,
 		e.versions.ReadUntilDone,
+		e.fetchRollouts,
 		e.reload,
 		e.runRouter,
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,6 +20,7 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/canary"
 	"zinniamast/clock"
 	"zinniamast/demand"
 	"zinniamast/egress"
@@ -104,6 +105,7 @@
 	runRouter func(context.Context)
 	// onReport passes a replica's load report to the policy; nil if the policy uses none.
 	onReport   func(replica string, report zinniamast.LoadReport)
+	store      *platform.Store
 	table      zinniamast.Table
 	clock      *clock.Clock
 	follower   *registry.Follower
@@ -119,18 +121,21 @@
 	allowance    *limits.Allowance
 	throttle     *throttle.Throttle
 	retries      *retry.Window
-	versions     *origin.Versions
-	origins      *origin.Directory
-	quarantine   *quarantine.Quarantine
-	parts        *quarantine.Parts
-	reports      *reports.Sharer
-	usage        *usage.Counter
-	lease        *lease.Lease
-	reporter     *usage.Reporter
-	scaling      *scaling.Controller
-	registry     *prometheus.Registry
-	egress       *egress.Egress
-	callerServer *http.Server
+	rollouts     *canary.Canary
+	// rolloutLeader leads the rollouts while this node holds the lease.
+	rolloutLeader *canary.Leader
+	versions      *origin.Versions
+	origins       *origin.Directory
+	quarantine    *quarantine.Quarantine
+	parts         *quarantine.Parts
+	reports       *reports.Sharer
+	usage         *usage.Counter
+	lease         *lease.Lease
+	reporter      *usage.Reporter
+	scaling       *scaling.Controller
+	registry      *prometheus.Registry
+	egress        *egress.Egress
+	callerServer  *http.Server
 	// gate decides which new connections of callers are taken.
 	gate *overload.Gate
 	// relayServer serves the requests that other instances relay through this one.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"zinniamast/canary"
 	"zinniamast/membership"
 	"zinniamast/peer"
 	"zinniamast/registry"
@@ -54,6 +55,7 @@
 		ConfigVersion: e.configVersion,
 		OnNewerConfig: e.fetchConfig,
 	})
+	e.buildRollouts()
 	return errors.Join(
 		e.peerServer.RegisterPeer(membership.ServiceName, e.members.Receiver()),
 		e.peerServer.RegisterPeer(allowanceName, &PoolReceiver{
@@ -99,6 +101,7 @@
 	routes   *routes.Table
 	follower *registry.Follower
 	roster   *roster.Roster
+	rollouts *canary.Canary
 }
 
 func (e *Entry) newRelay() *Relay {
@@ -106,6 +109,7 @@
 		routes:   e.routes,
 		follower: e.follower,
 		roster:   e.roster,
+		rollouts: e.rollouts,
 	}
 }
 
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -25,6 +25,7 @@
 		Contacts:       e.reportContacts,
 		IsPlain:        e.isPlain,
 		Demand:         e.demand,
+		Rollouts:       e.rollouts,
 		OnReport:       e.handleReport,
 		Logger:         e.config.Logger,
 	})
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -16,6 +16,7 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/canary"
 	"zinniamast/origin"
 	"zinniamast/prefix"
 	"zinniamast/quarantine"
@@ -99,8 +100,10 @@
 	Parts zinniamast.PartQuarantine
 	// Origins are the origins of streams; nil means that this node alone serves them.
 	Origins Origins
-	Meter   Meter
-	Demand  Demand
+	// Rollouts are the rollouts of software versions; nil means that there are none.
+	Rollouts Rollouts
+	Meter    Meter
+	Demand   Demand
 	// Closing reports whether the node is stopping and refuses new requests.
 	Closing func() bool
 	// Stopping reports whether the node is about to stop. Each connection is then
@@ -124,6 +127,11 @@
 			Upstreams: config.Upstreams,
 		})
 	}
+	if config.Rollouts == nil {
+		config.Rollouts = canary.New(canary.Config{
+			Upstreams: config.Upstreams,
+		})
+	}
 	if config.Parts == nil {
 		config.Parts = quarantine.NewParts(quarantine.PartsConfig{})
 	}
@@ -227,6 +235,8 @@
 	// software version began.
 	resumes bool
 	version string
+	// selection is what a rollout leaves of the replicas for the next send.
+	selection canary.Selection
 
 	// sendsStarted counts the sends so far. The counts below contain those that have
 	// ended.
--- a/forward/send.go
+++ b/forward/send.go
@@ -15,6 +15,7 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/canary"
 	"zinniamast/quarantine"
 	"zinniamast/routes"
 )
@@ -68,8 +69,27 @@
 	choice   zinniamast.Choice
 }
 
-// choose asks the router for the next replica.
+// choose asks the router for the next replica, among those to which a rollout lets the
+// request go.
 func (h *Handler) choose(c *call, avoid []string) (routed, *zinniamast.Refusal) {
+	selection := h.config.Rollouts.Select(canary.Query{
+		Service: c.service,
+		Request: c.metadata.ID,
+		IsRetry: c.sendsStarted > 0 || c.isSuspect,
+		Resumes: c.resumes,
+		Version: c.version,
+	})
+	c.selection = selection
+	to, refusal := h.chooseSelected(c, avoid)
+	if refusal != nil && selection.Trial != "" {
+		c.selection = selection.WithoutTrial()
+		to, refusal = h.chooseSelected(c, avoid)
+	}
+	return to, refusal
+}
+
+// chooseSelected asks the router for the next replica among the selected ones.
+func (h *Handler) chooseSelected(c *call, avoid []string) (routed, *zinniamast.Refusal) {
 	blocked, due := h.config.Throttle.Limited(c.service)
 	avoid = slices.Concat(avoid, blocked)
 	if to, ok := h.chooseDue(c, avoid, due); ok {
@@ -133,6 +153,8 @@
 		Alone:               c.isSuspect,
 		Resumes:             c.resumes,
 		Version:             c.version,
+		AvoidVersions:       c.selection.AvoidVersions,
+		Only:                c.selection.Only,
 	}
 }
 
@@ -185,6 +207,7 @@
 	c.countSend(failure)
 	id := s.upstream.Instance.ID
 	defer s.upstream.EndAttempt()
+	defer func() { h.observeVersionEnd(c, s, failure, events) }()
 	isAnswered := failure == nil && s.response.StatusCode < http.StatusInternalServerError
 	defer h.config.Quarantine.AttemptEnded(id, c.fingerprint, isAnswered)
 	defer s.run.Ended(isAnswered)
@@ -215,9 +238,10 @@
 }
 
 // recordBegan records that the first piece of the answer has arrived.
-func (s *send) recordBegan() {
+func (h *Handler) recordBegan(c *call, s *send) {
 	s.began = time.Now()
 	s.run.Wrote()
+	h.observeVersionBegan(c, s)
 }
 
 // wroteFor returns the time since the first piece of the answer, for the log; zero if there
@@ -313,7 +337,7 @@
 	if s.stream != nil {
 		s.firstEvents = s.stream.next()
 		if len(s.firstEvents) > 0 || s.stream.isWhole() && s.resumes {
-			s.recordBegan()
+			h.recordBegan(c, s)
 			return nil
 		}
 		return s.streamFailure()
@@ -322,7 +346,7 @@
 	if err != nil {
 		return upstreamError(s.upstream, readFailure(err), err)
 	}
-	s.recordBegan()
+	h.recordBegan(c, s)
 	s.plain = &answer{
 		status: s.response.StatusCode,
 		header: s.response.Header,
--- a/gossip.go
+++ b/gossip.go
@@ -28,6 +28,10 @@
 	TopicDemand Topic = "demand"
 	// TopicLoad reports one node's in-flight requests at upstreams.
 	TopicLoad Topic = "load"
+	// TopicRollout reports how far a rollout of a software version is. The key is the service.
+	TopicRollout Topic = "rollout"
+	// TopicVersionVerdict reports a software version that proved bad. The key is the service.
+	TopicVersionVerdict Topic = "version_verdict"
 )
 
 // Gossip spreads small items between nodes within a few hundred milliseconds
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -224,7 +224,11 @@
 	// The joining node hears most of what does not fit soon from its origin, but not what
 	// was published once for a long time.
 	isLasting := func(topic zinniamast.Topic) bool {
-		return topic == zinniamast.TopicQuarantine || topic == zinniamast.TopicRateLimit
+		switch topic {
+		case zinniamast.TopicQuarantine, zinniamast.TopicRateLimit, zinniamast.TopicRollout, zinniamast.TopicVersionVerdict:
+			return true
+		}
+		return false
 	}
 	m.addGossip(answer, isLasting)
 	m.addGossip(answer, func(topic zinniamast.Topic) bool { return !isLasting(topic) })
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -17,6 +17,8 @@
 	zinniamast.TopicQuarantine:      true,
 	zinniamast.TopicPromptPart:      true,
 	zinniamast.TopicRateLimit:       true,
+	zinniamast.TopicRollout:         true,
+	zinniamast.TopicVersionVerdict:  true,
 	topicSummary:                    true,
 }
 
--- a/policy.go
+++ b/policy.go
@@ -46,6 +46,10 @@
 	// version Version began. No replica of another version may be chosen.
 	Resumes bool
 	Version string
+	// AvoidVersions lists software versions whose replicas must not be chosen, and Only the
+	// replicas that may be chosen, all if it is empty.
+	AvoidVersions []string
+	Only          []string
 }
 
 // Choice is the routing decision for an attempt.
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -44,6 +44,8 @@
 	Upstreams *blackboard.Upstreams
 	// Build returns a client for the replica at host:port.
 	Build func(id, address string) zinniamast.Replica
+	// OnOrder receives the operators' orders; nil means that they are not used.
+	OnOrder func(zinniamast.RolloutOrder)
 	// Logger logs versions, replicas and losses of the store; nil means slog's default.
 	Logger *slog.Logger
 }
@@ -59,6 +61,11 @@
 	// seeds holds a peer's replicas, for a node that cannot reach the store.
 	seeds chan ReplicaChanges
 
+	// ordersPosition is the store's position up to which the orders are known, and orders
+	// holds the newest of each service. The configuration's loop alone changes them.
+	ordersPosition atomic.Uint64
+	orders         map[string]zinniamast.RolloutOrder
+
 	// peerFeed holds the entries and positions from which peers are answered.
 	peerFeed peerFeed
 
@@ -83,6 +90,7 @@
 		config:         config,
 		peerFeed:       newPeerFeed(),
 		seeds:          make(chan ReplicaChanges, 1),
+		orders:         map[string]zinniamast.RolloutOrder{},
 		versions:       map[string]uint64{},
 		lapseDeadlines: map[string]time.Time{},
 		removedAt:      map[string]time.Time{},
@@ -231,6 +239,8 @@
 		}
 		feed.position, feed.hasPosition = max(feed.position, change.Position), true
 		f.applyConfig(change.Config)
+		f.applyOrders(change)
+		f.ordersPosition.Store(feed.position)
 		f.peerFeed.advanceConfig(feed.position)
 	}
 }
@@ -242,6 +252,46 @@
 	}
 }
 
+// OrdersKnownUntil returns the store's position up to which this node knows the operators'
+// orders. A replica that was listed later may belong to an order that is not known yet.
+func (f *Follower) OrdersKnownUntil() uint64 { return f.ordersPosition.Load() }
+
+// applyOrders passes on the orders that are new, and those that a whole list lacks as
+// withdrawn.
+func (f *Follower) applyOrders(change ConfigChange) {
+	for _, reason := range change.Unreadable {
+		f.config.Logger.Warn("order unreadable, ignored", "cause", reason)
+	}
+	listed := map[string]bool{}
+	for _, order := range change.Orders {
+		listed[order.Service] = true
+		f.applyOrder(order)
+	}
+	if !change.IsWhole {
+		return
+	}
+	for service, known := range f.orders {
+		if !listed[service] && !known.IsWithdrawn {
+			f.applyOrder(zinniamast.RolloutOrder{
+				Service:     service,
+				Revision:    change.Position,
+				IsWithdrawn: true,
+			})
+		}
+	}
+}
+
+func (f *Follower) applyOrder(order zinniamast.RolloutOrder) {
+	if order.Revision <= f.orders[order.Service].Revision {
+		return
+	}
+	f.orders[order.Service] = order
+	f.peerFeed.putOrder(order)
+	if f.config.OnOrder != nil {
+		f.config.OnOrder(order)
+	}
+}
+
 // followReplicas keeps the replicas up to date.
 func (f *Follower) followReplicas(ctx context.Context) {
 	feed := feedState{
@@ -392,8 +442,9 @@
 			Started:       r.Started,
 			Version:       r.Version,
 		},
-		Replica: f.config.Build(r.ID, r.Address),
-		Slots:   r.Slots,
+		Replica:  f.config.Build(r.ID, r.Address),
+		Slots:    r.Slots,
+		Revision: f.versions[r.ID],
 	}
 }
 
--- a/registry/follower_test.go
+++ b/registry/follower_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 	routes    *routes.Table
 	upstreams *blackboard.Upstreams
 	follower  *registry.Follower
+	orders    *orders
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -37,6 +39,7 @@
 		store:     store.New(),
 		routes:    &routes.Table{},
 		upstreams: blackboard.NewUpstreams(),
+		orders:    &orders{},
 	}
 	f.follower = registry.NewFollower(registry.FollowerConfig{
 		Source:    platform.NewStore(f.store.Address()),
@@ -48,7 +51,8 @@
 				Address:  "http://" + address,
 			})
 		},
-		Logger: slog.New(slog.DiscardHandler),
+		OnOrder: f.orders.receive,
+		Logger:  slog.New(slog.DiscardHandler),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -317,6 +321,52 @@
 	f.eventually(time.Second, "new start", f.isAccepting("i-1"))
 }
 
+// orders collects the orders that a follower passes on.
+type orders struct {
+	mu  sync.Mutex
+	all []zinniamast.RolloutOrder
+}
+
+func (o *orders) receive(order zinniamast.RolloutOrder) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.all = append(o.all, order)
+}
+
+func (o *orders) newest() (newest zinniamast.RolloutOrder, count int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.all) == 0 {
+		return newest, 0
+	}
+	return o.all[len(o.all)-1], len(o.all)
+}
+
+// Guards against orders that are missed, told twice or not taken back when the history of the store is gone.
+func TestOrdersAreFollowed(t *testing.T) {
+	f := newFixture(t)
+	f.store.Put("op", "config", []byte(`{"version":1}`))
+	f.store.Put("op", "rollout/svc", []byte(`{"service":"svc","to":"v2","durationS":12}`))
+	f.eventually(3*time.Second, "the order is known", func() bool {
+		order, _ := f.orders.newest()
+		return order.Version == "v2" && f.follower.OrdersKnownUntil() >= order.Revision
+	})
+	f.store.DropHistory()
+	f.store.Put("op", "config", []byte(`{"version":2}`))
+	f.eventually(5*time.Second, "the next configuration", func() bool {
+		current := f.routes.Current()
+		return current != nil && current.Version == 2
+	})
+	_, count := f.orders.newest()
+	f.is.Equal(count, 1)
+	f.store.Remove("op", "rollout/svc")
+	f.store.DropHistory()
+	f.eventually(5*time.Second, "the order is withdrawn", func() bool {
+		order, _ := f.orders.newest()
+		return order.IsWithdrawn
+	})
+}
+
 // Guards against nodes that each receive and apply every heartbeat of every replica.
 func TestHeartbeatsAreNotPassedOn(t *testing.T) {
 	f := newFixture(t)
--- a/registry/peer_feed.go
+++ b/registry/peer_feed.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"zinniamast"
 )
 
 // ErrStale means that a peer has no recent answer from the store.
@@ -26,6 +28,8 @@
 	mu sync.Mutex
 	// entries holds the newest change of each replica, removed ones included.
 	entries map[string]ReplicaChange
+	// orders holds the newest order of each service.
+	orders map[string]zinniamast.RolloutOrder
 	// oldestPosition is the position before which removals are not known: that of
 	// the last full list, or a later one once old removed entries are deleted.
 	oldestPosition uint64
@@ -45,6 +49,7 @@
 func newPeerFeed() peerFeed {
 	return peerFeed{
 		entries: map[string]ReplicaChange{},
+		orders:  map[string]zinniamast.RolloutOrder{},
 		changed: make(chan struct{}),
 	}
 }
@@ -69,6 +74,13 @@
 	return *c.Replica == *other.Replica
 }
 
+// putOrder stores the newest order of a service.
+func (p *peerFeed) putOrder(order zinniamast.RolloutOrder) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.orders[order.Service] = order
+}
+
 // removedEntryPositions is the number of positions for which removed entries are
 // retained; a peer that is further behind reads the full list.
 const removedEntryPositions = 5000
@@ -177,10 +189,16 @@
 	if time.Since(p.config.answeredAt) > staleAfter {
 		return ConfigChange{}, ErrStale
 	}
-	return ConfigChange{
+	change := ConfigChange{
 		Config:   f.config.Routes.Current(),
 		Position: max(position, p.config.position),
-	}, nil
+	}
+	for _, order := range p.orders {
+		if order.Revision > position {
+			change.Orders = append(change.Orders, order)
+		}
+	}
+	return change, nil
 }
 
 // Replicas returns the replicas known to this node, for a peer that has none.
--- a/registry/source.go
+++ b/registry/source.go
@@ -7,6 +7,7 @@
 	"errors"
 	"time"
 
+	"zinniamast"
 	"zinniamast/routes"
 )
 
@@ -68,10 +69,16 @@
 	Version string
 }
 
-// ConfigChange is the newest configuration.
+// ConfigChange is what operators have written: the newest configuration, and the orders
+// that have changed.
 type ConfigChange struct {
 	// Config is nil if nothing changed or no configuration was written.
 	Config *routes.Config
+	Orders []zinniamast.RolloutOrder
+	// IsWhole means that there are no other orders.
+	IsWhole bool
+	// Unreadable are the reasons why some entries name no order.
+	Unreadable []string
 	// Position is where a feed continues.
 	Position uint64
 }
--- a/reports/board.go
+++ b/reports/board.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"zinniamast/canary"
 	"zinniamast/demand"
 )
 
@@ -31,6 +32,8 @@
 	Position uint64
 	// Demand is the load of the failure domains asked for.
 	Demand map[string]demand.DomainLoad
+	// Rollouts are the reports on rollouts, see Query.
+	Rollouts []canary.DomainReport
 }
 
 // boardEntry is a report with the time of its reading by this node's clock.
--- a/reports/share.go
+++ b/reports/share.go
@@ -8,6 +8,7 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/canary"
 	"zinniamast/demand"
 )
 
@@ -26,6 +27,27 @@
 	// to another failure domain.
 	Node  string
 	Loads demand.Loads
+	// Rollouts are the querying node's reports on rollouts. If IsJudge is set, the answer
+	// contains those of all failure domains.
+	Rollouts []canary.NodeReport
+	IsJudge  bool
+}
+
+// Rollouts collects what nodes report on rollouts; package canary implements it.
+type Rollouts interface {
+	// Report returns this node's reports, and IsJudge whether it needs those of all nodes.
+	Report() []canary.NodeReport
+	IsJudge() bool
+	// IsActive reports whether a rollout is in progress.
+	IsActive() bool
+	// ReceiveNode records the reports of a node of this failure domain, and SumDomain sums
+	// them up.
+	ReceiveNode(node string, reports []canary.NodeReport)
+	SumDomain()
+	// Domains returns the sums of one failure domain, or of all if it is empty, and
+	// ReceiveDomains records them.
+	Domains(failureDomain string) []canary.DomainReport
+	ReceiveDomains(reports []canary.DomainReport)
 }
 
 // Peer fetches reports from another node.
@@ -51,6 +73,8 @@
 	IsPlain func(service string) bool
 	// Demand is the load of the services, sent together with the reports.
 	Demand *demand.Demand
+	// Rollouts are sent together with the reports; nil means that there are none.
+	Rollouts Rollouts
 	// OnReport receives each new report.
 	OnReport func(replica string, report zinniamast.LoadReport)
 	// Logger logs replicas and nodes that do not answer; nil means slog.Default.
@@ -77,6 +101,11 @@
 	if config.Logger == nil {
 		config.Logger = slog.Default()
 	}
+	if config.Rollouts == nil {
+		config.Rollouts = canary.New(canary.Config{
+			Upstreams: config.Upstreams,
+		})
+	}
 	return &Sharer{
 		config: config,
 		board:  NewBoard(),
@@ -87,9 +116,13 @@
 func (s *Sharer) Answer(ctx context.Context, query Query) Answer {
 	if query.Node != "" {
 		s.config.Demand.ReceiveNode(query.Node, query.Loads)
+		s.config.Rollouts.ReceiveNode(query.Node, query.Rollouts)
 	}
 	answer := s.board.Since(ctx, query.FailureDomain, query.Position, min(query.Wait, maxQueryWait))
 	answer.Demand = s.config.Demand.Domains(query.FailureDomain)
+	if query.Node == "" || query.IsJudge {
+		answer.Rollouts = s.config.Rollouts.Domains(query.FailureDomain)
+	}
 	return answer
 }
 
@@ -97,6 +130,9 @@
 	// queryWait is how long another node may wait for a report before it answers;
 	// while replicas run there is one every readInterval.
 	queryWait = time.Second
+	// rolloutQueryWait is queryWait while a rollout is in progress, whose counts are to
+	// arrive soon.
+	rolloutQueryWait = 300 * time.Millisecond
 	// maxQueryWait bounds the wait that other nodes may ask for.
 	maxQueryWait = 2 * time.Second
 	// queryTimeout is the time after which an unanswered query counts as failed.
@@ -126,6 +162,7 @@
 		peer := s.config.Reader()
 		if peer == nil {
 			s.config.Demand.SumDomain()
+			s.config.Rollouts.SumDomain()
 			s.readAll(ctx)
 			pause(ctx, readInterval)
 			continue
@@ -134,6 +171,8 @@
 			Position: position,
 			Node:     s.config.Node,
 			Loads:    s.config.Demand.Own(),
+			Rollouts: s.config.Rollouts.Report(),
+			IsJudge:  s.config.Rollouts.IsJudge(),
 		})
 		position = answer.Position
 		if err != nil {
@@ -162,7 +201,10 @@
 			Position:      position,
 		})
 		position = answer.Position
-		if _, known := answer.Demand[domain]; err == nil && known {
+		_, known := answer.Demand[domain]
+		// Only the reader of a failure domain knows its reports on rollouts.
+		isReader := !s.config.Rollouts.IsActive() || len(answer.Rollouts) > 0
+		if err == nil && known && isReader {
 			continue
 		}
 		failures++
@@ -179,6 +221,9 @@
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	query.Wait = queryWait
+	if s.config.Rollouts.IsActive() {
+		query.Wait = rolloutQueryWait
+	}
 	answer, err := peer.FetchReports(ctx, query)
 	if err != nil {
 		s.config.Logger.Debug("fetching load reports from another node failed", "failure_domain", query.FailureDomain, "cause", err)
@@ -188,6 +233,7 @@
 	for domain, load := range answer.Demand {
 		s.config.Demand.ReceiveDomain(domain, load)
 	}
+	s.config.Rollouts.ReceiveDomains(answer.Rollouts)
 	return answer, nil
 }
 
--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -60,10 +60,20 @@
 	Duties    zinniamast.Duties
 	// FailureDomains lists all failure domains.
 	FailureDomains []string
+	// Rollouts are the rollouts of software versions; nil means that there are none.
+	Rollouts Rollouts
 	// Logger logs the orders; nil means slog.Default.
 	Logger *slog.Logger
 }
 
+// Rollouts knows which services are moved from one software version to another, for which
+// the platform starts replicas of its own.
+type Rollouts interface {
+	// IsMoving reports whether a service is being moved, and then which version's replicas
+	// carry its load.
+	IsMoving(service string) (isMoving bool, carries func(version string) bool)
+}
+
 // Controller orders replicas while this node holds the lease.
 type Controller struct {
 	config Config
@@ -340,8 +350,12 @@
 		Present: map[Place]int{},
 		Ordered: map[Place]int{},
 	}
+	carries := func(string) bool { return true }
+	if c.config.Rollouts != nil {
+		s.IsMoving, carries = c.config.Rollouts.IsMoving(service.Name)
+	}
 	for _, u := range c.config.Upstreams.Of(service.Name) {
-		if u.Leaving() {
+		if u.Leaving() || s.IsMoving && !carries(u.Instance.Version) {
 			continue
 		}
 		s.Present[Place{
@@ -390,7 +404,7 @@
 	if !settled && (place.Market == zinniamast.OnDemand || count < s.Present[place]) {
 		return false
 	}
-	if !c.config.Demand.IsComplete() && count < s.Present[place] {
+	if (s.IsMoving || !c.config.Demand.IsComplete()) && count < s.Present[place] {
 		return false
 	}
 	last, ok := c.orders[key]
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -61,6 +61,9 @@
 	Present map[Place]int
 	// Ordered is what was ordered last; some of these replicas may still be starting.
 	Ordered map[Place]int
+	// IsMoving means that the service is moved between software versions. Present counts the
+	// replicas of the one that carries its load.
+	IsMoving bool
 }
 
 // Plan returns how many replicas each place should have.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -208,6 +208,9 @@
 	if c.OwnPaths {
 		first = slices.DeleteFunc(slices.Clone(faults), fault.mixesPaths)
 	}
+	if c.keepsReplicas {
+		first = slices.DeleteFunc(slices.Clone(first), fault.changesReplicas)
+	}
 	series.Go(func() { i.injectSeries(ctx, first, rand.New(rand.NewPCG(c.Seed, c.Seed))) })
 	series.Go(func() { i.injectSeries(ctx, silenceFaults, rand.New(rand.NewPCG(c.Seed, ^c.Seed))) })
 	if c.OwnPaths {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -19,6 +19,9 @@
 	// OwnPaths gives each instance a failure domain and links to the replicas of its own,
 	// which are cut as a further fault.
 	OwnPaths bool
+
+	// keepsReplicas leaves out the faults that replace replicas or change how they answer.
+	keepsReplicas bool
 }
 
 // retryBudget limits the retries of a deployment in each retry window of the settings.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,9 +16,12 @@
 var (
 	seeds    = flag.Int("soak.seeds", 4, "how many seeds are soaked")
 	cutSeeds = flag.Int("soak.cutseeds", 1, "how many seeds are soaked with instances that lose their paths")
-	first    = flag.Uint64("soak.first", 1, "the first seed")
-	length   = flag.Duration("soak.length", 6*time.Second, "how long faults are injected")
-	size     = flag.Int("soak.instances", 4, "how many entry instances there are")
+	// rolloutSeeds is how many seeds are soaked with a rollout of a good and a bad version.
+	rolloutSeeds = flag.Int("soak.rolloutseeds", 1, "how many seeds are soaked with rollouts")
+
+	first  = flag.Uint64("soak.first", 1, "the first seed")
+	length = flag.Duration("soak.length", 6*time.Second, "how long faults are injected")
+	size   = flag.Int("soak.instances", 4, "how many entry instances there are")
 )
 
 func TestMain(m *testing.M) {
@@ -109,3 +112,26 @@
 	reachedInstance := s.Requests - s.Unanswered["not connected"]
 	is.New(t).True(float64(s.Served) > 0.95*float64(reachedInstance))
 }
+
+// Guards against a good version that is not completed or costs requests when the old replicas stop, and a bad one that goes on getting requests, while instances are killed, paused, stopped and reloaded and the store fails.
+func TestRolloutEndsUnderFaults(t *testing.T) {
+	if testing.Short() {
+		*length = 2 * time.Second
+	}
+	for i := range uint64(*rolloutSeeds) {
+		for _, isBad := range []bool{false, true} {
+			t.Run(fmt.Sprintf("seed %d bad %v", *first+i, isBad), func(t *testing.T) {
+				s := soak.RunRollout(t, soak.Config{
+					Seed:          *first + i,
+					Instances:     *size,
+					FaultDuration: *length,
+				}, isBad)
+				t.Logf("%d requests, %d served, %d refused, without answer %v", s.Requests, s.Served, s.Refused, s.Unanswered)
+				t.Logf("faults: %v", s.Faults)
+				for _, line := range s.Violations {
+					t.Error(line)
+				}
+			})
+		}
+	}
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -193,9 +193,14 @@
 
 func rowKey(table, part, key string) string { return table + "\x00" + part + "\x00" + key }
 
-// apply changes one row; the caller holds the lock.
+// apply changes one row in a transaction of its own; the caller holds the lock.
 func (s *Store) apply(r Row) {
 	s.ver++
+	s.change(r)
+}
+
+// change changes one row in the newest transaction; the caller holds the lock.
+func (s *Store) change(r Row) {
 	r.Ver = s.ver
 	name := rowKey(r.Table, r.Part, r.Key)
 	s.rows[name] = r
@@ -257,8 +262,9 @@
 		s.answer(w, http.StatusPreconditionFailed, current, false)
 		return
 	}
+	s.ver++
 	for _, p := range tx.Put {
-		s.apply(Row{
+		s.change(Row{
 			Table: p.Table,
 			Part:  p.Part,
 			Key:   p.Key,
@@ -266,7 +272,7 @@
 		})
 	}
 	for _, n := range tx.Remove {
-		s.apply(Row{
+		s.change(Row{
 			Table:   n.Table,
 			Part:    n.Part,
 			Key:     n.Key,
