Send a configuration on only when it is new, and look through all replicas less often

A profile of 24 instances before 3,000 replicas (a scratch test): each answer of a reader to the nodes of its failure domain carried the whole configuration, once or twice a second, as its position advances with each heartbeat of a replica; and each instance looked through all replicas four times a second for their versions (6 % of the processor time).

Change: the configuration travels when the asker lacks it; versions are recorded every two seconds (they are kept for a minute, and a new list is looked through at once). TestConfigurationIsPassedOnOnce fails without the change.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -28,8 +28,10 @@
 	putTimeout  = time.Second
 	// flushInterval is how long origins are collected before they are sent to their holders.
 	flushInterval = 20 * time.Millisecond
-	// observeInterval is the interval at which the versions of all replicas are recorded.
-	observeInterval = 250 * time.Millisecond
+	// observeInterval is the interval at which the versions of all replicas are recorded, and
+	// refreshInterval that at which streams are told whose service has several since.
+	observeInterval = 2 * time.Second
+	refreshInterval = 250 * time.Millisecond
 )
 
 // Config configures a Directory.
@@ -253,8 +255,9 @@
 
 // Run sends origins to their holders until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
-	ticker := time.NewTicker(observeInterval)
-	defer ticker.Stop()
+	observe, refresh := time.NewTicker(observeInterval), time.NewTicker(refreshInterval)
+	defer observe.Stop()
+	defer refresh.Stop()
 	for {
 		select {
 		case <-d.wake:
@@ -264,8 +267,9 @@
 				return
 			}
 			d.flush(ctx)
-		case <-ticker.C:
+		case <-observe.C:
 			d.config.Versions.Observe()
+		case <-refresh.C:
 			d.refresh()
 		case <-ctx.Done():
 			return
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -238,18 +238,24 @@
 			continue
 		}
 		feed.position, feed.hasPosition = max(feed.position, change.Position), true
-		f.applyConfig(change.Config)
+		isNew := f.applyConfig(change.Config)
 		f.applyOrders(change)
 		f.ordersPosition.Store(feed.position)
-		f.peerFeed.advanceConfig(feed.position)
+		f.peerFeed.advanceConfig(feed.position, isNew)
 	}
 }
 
-func (f *Follower) applyConfig(c *routes.Config) {
-	if c != nil && f.config.Routes.Apply(c) {
+// applyConfig puts a configuration in force and reports whether there is one that peers may
+// not have.
+func (f *Follower) applyConfig(c *routes.Config) bool {
+	if c == nil {
+		return false
+	}
+	if f.config.Routes.Apply(c) {
 		f.config.Logger.Info("configuration in force", "version", c.Version, "routes", len(c.Routes),
 			"organisations", len(c.Organisations))
 	}
+	return true
 }
 
 // OrdersKnownUntil returns the store's position up to which this node knows the operators'
--- a/registry/follower_test.go
+++ b/registry/follower_test.go
@@ -389,3 +389,23 @@
 	f.is.Equal(len(changes.Changes), 1)
 	f.is.Equal(changes.Changes[0].ID, "i-7")
 }
+
+// Guards against a configuration that travels again with every answer, and one that a peer misses.
+func TestConfigurationIsPassedOnOnce(t *testing.T) {
+	f := newFixture(t)
+	f.store.Put("op", "config", []byte(`{"version":1}`))
+	f.eventually(3*time.Second, "the configuration is known", func() bool { return f.routes.Current() != nil })
+	first, err := f.follower.ConfigAfter(t.Context(), 0, time.Second)
+	f.is.NoErr(err)
+	f.is.Equal(first.Config.Version, int64(1))
+	f.store.PutJSON("servers", "i-1", readyEntry(1)) // the position advances
+	again, err := f.follower.ConfigAfter(t.Context(), first.Position, 0)
+	f.is.NoErr(err)
+	f.is.True(again.Config == nil)
+	f.store.Put("op", "config", []byte(`{"version":2}`))
+	f.eventually(3*time.Second, "the next configuration", func() bool { return f.routes.Current().Version == 2 })
+	f.eventually(time.Second, "it is passed on", func() bool {
+		next, err := f.follower.ConfigAfter(t.Context(), again.Position, 0)
+		return err == nil && next.Config != nil && next.Config.Version == 2
+	})
+}
--- a/registry/peer_feed.go
+++ b/registry/peer_feed.go
@@ -33,6 +33,8 @@
 	// oldestPosition is the position before which removals are not known: that of
 	// the last full list, or a later one once old removed entries are deleted.
 	oldestPosition uint64
+	// configPosition is the position up to which the present configuration was not known.
+	configPosition uint64
 	// replicas and config are the progress of the two feeds.
 	replicas feedProgress
 	config   feedProgress
@@ -103,9 +105,14 @@
 	}
 }
 
-func (p *peerFeed) advanceConfig(position uint64) {
+// advanceConfig records an answer of the configuration's feed, and whether it brought
+// another one.
+func (p *peerFeed) advanceConfig(position uint64, isNew bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if isNew {
+		p.configPosition = position
+	}
 	p.advance(&p.config, position)
 }
 
@@ -190,9 +197,11 @@
 		return ConfigChange{}, ErrStale
 	}
 	change := ConfigChange{
-		Config:   f.config.Routes.Current(),
 		Position: max(position, p.config.position),
 	}
+	if position < p.configPosition {
+		change.Config = f.config.Routes.Current()
+	}
 	for _, order := range p.orders {
 		if order.Revision > position {
 			change.Orders = append(change.Orders, order)
