Let begun streams go on at old replicas until the seal, and count one version as no move

By reading: at the whole share a stream that an old replica had begun was refused at once when it broke off, although old replicas still run until the rollout is sealed. And after a restart a rollout that has ended was taken for one in progress until its record was read: the replicas of the only version were not counted, and would have been ordered once more. Tests: TestResumedStreamStaysAtItsVersion, TestServiceWithOneVersionIsNotMoving.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -209,13 +209,17 @@
 // IsJudge reports whether this node needs the counts of all nodes although it sums up none.
 func (c *Canary) IsJudge() bool { return c.IsActive() && c.config.IsLeader() }
 
-// IsMoving reports whether a rollout of the service is in progress, and the version whose
-// replicas carry most of its requests.
+// IsMoving reports whether a rollout of the service is in progress, with replicas of several
+// versions, and which of these carry most of its requests.
 func (c *Canary) IsMoving(name string) (isMoving bool, carries func(version string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s, ok := c.services[name]
-	if !ok || !s.isActive() || s.order.Version == "" {
+	if !ok || !s.isActive() {
+		return false, nil
+	}
+	s.versions.update(c.config.Upstreams.Of(name))
+	if !s.versions.has(s.order.Version) || !s.versions.hasOther(s.order.Version, nil) {
 		return false, nil
 	}
 	target, isNew := s.order.Version, s.grant.Order == s.order.Revision && s.grant.Share >= 1
@@ -280,12 +284,9 @@
 			AvoidVersions: barred,
 		}
 	}
-	if q.Resumes && q.Version == target {
-		return Selection{
-			AvoidVersions: barred,
-		}
-	}
-	if slices.Contains(barred, target) {
+	// A stream goes on at its version for as long as that may be sent anything.
+	goesOn := q.Resumes && (q.Version == target || !s.isSealed())
+	if goesOn || slices.Contains(barred, target) {
 		return Selection{
 			AvoidVersions: barred,
 		}
@@ -296,7 +297,7 @@
 			AvoidVersions: append(barred, s.versions.except(target)...),
 		}
 	}
-	isTrial := !q.Resumes && !q.IsRetry && fraction(q.Request) < share
+	isTrial := !q.IsRetry && fraction(q.Request) < share
 	var chosen []string
 	if isTrial {
 		chosen = s.versions.chosen(target, s.order.Revision, s.grant.Replicas, s.grant.Turn)
--- a/canary/select_test.go
+++ b/canary/select_test.go
@@ -161,6 +161,35 @@
 		Version: newVersion,
 	})
 	check.Equal(len(selection.AvoidVersions), 0)
+
+	// At the whole share old streams still go on, until no node may use old replicas.
+	old := canary.Query{
+		Service: worldService,
+		Request: "r-2",
+		Resumes: true,
+		Version: oldVersion,
+	}
+	s.Apply(s.grant(1, 2))
+	check.True(!slices.Contains(s.Select(old).AvoidVersions, oldVersion))
+	sealed := s.grant(1, 3)
+	sealed.IsSealed = true
+	s.Apply(sealed)
+	check.True(slices.Contains(s.Select(old).AvoidVersions, oldVersion))
+}
+
+// Guards against replicas that are not counted, and ordered once more, since a rollout that has ended is taken for one in progress after a restart.
+func TestServiceWithOneVersionIsNotMoving(t *testing.T) {
+	check := is.New(t)
+	s := newOrderedSelector()
+	isMoving, carries := s.IsMoving(worldService)
+	check.True(isMoving)
+	check.True(carries(oldVersion))
+	check.True(!carries(newVersion))
+	for i := range 4 {
+		s.upstreams.Remove(fmt.Sprint(oldVersion, "-", i))
+	}
+	isMoving, _ = s.IsMoving(worldService)
+	check.True(!isMoving)
 }
 
 // Guards against a version that is tried again, and one that an unknown verdict or order brings back.
