--- a/canary/grant.go
+++ b/canary/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
 	"time"
 
@@ -54,6 +55,8 @@
 	// leader repeats it every grantInterval.
 	grantLifetime = 3 * time.Second
 	grantInterval = 700 * time.Millisecond
+	// shareSteps is the number of steps of the share of which each is logged.
+	shareSteps = 4
 	// newsLifetime is how long nodes that join still hear of grants and verdicts.
 	newsLifetime = 10 * time.Minute
 )
@@ -126,7 +129,8 @@
 	if !grant.supersedes(&s.grant) {
 		return
 	}
-	isNews := grant.State != s.grant.State || grant.Order != s.grant.Order || grant.Share != s.grant.Share || grant.IsSealed != s.grant.IsSealed
+	isNews := grant.State != s.grant.State || grant.Order != s.grant.Order || grant.IsSealed != s.grant.IsSealed ||
+		math.Round(grant.Share*shareSteps) != math.Round(s.grant.Share*shareSteps)
 	if grant.IsSealed && !s.isSealed() {
 		s.sealedAt = now
 	}
--- a/canary/plan.go
+++ b/canary/plan.go
@@ -213,7 +213,7 @@
 // hasFailedTrial reports whether the time is up and the answers speak against the new
 // version, although not enough to condemn it.
 func (s *situation) hasFailedTrial() bool {
-	return s.stage == stageTrial && s.now.After(s.deadline.Add(-finishMargin)) && s.status.IsDoubted && s.answers >= fewAnswers
+	return s.stage == stageTrial && s.now.After(s.deadline.Add(-finishMargin)) && s.mustFall() && s.answers >= fewAnswers
 }
 
 // replicas returns the number of replicas of the new version for a stage.
--- a/canary/world_test.go
+++ b/canary/world_test.go
@@ -105,7 +105,7 @@
 
 // world is a service with nodes in front of replicas of two versions, in virtual time.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	random   *rand.Rand
 	start    time.Time
 	now      time.Time
@@ -224,7 +224,7 @@
 	return r.Revision, nil
 }
 
-func newWorld(t *testing.T, size size, bad badness, within time.Duration, seed uint64) *world {
+func newWorld(t testing.TB, size size, bad badness, within time.Duration, seed uint64) *world {
 	start := time.Unix(1_800_000_000, 0)
 	w := &world{
 		t:       t,
--- a/soak/rollout.go
+++ b/soak/rollout.go
@@ -138,8 +138,8 @@
 	for _, n := range r.deployment.nodes {
 		for _, p := range append(slices.Clone(n.previous), n.process) {
 			for line := range strings.Lines(p.Logs()) {
-				if strings.Contains(line, `msg="rollout stage"`) || strings.Contains(line, `msg="rollout is late"`) {
-					lines = append(lines, "\n\t"+strings.TrimSpace(line))
+				if strings.Contains(line, `msg="rollout`) {
+					lines = append(lines, "\n\t"+n.name+" "+strings.TrimSpace(line))
 				}
 			}
 		}
