Let every node of a failure domain tell its report on a rollout

Now the reader's sum travels to its own nodes too, and reports count for 2.5 s, as there may be one more hop.

--- a/canary/exchange.go
+++ b/canary/exchange.go
@@ -10,7 +10,7 @@
 
 const (
 	// reportLifetime is how long a report counts as recent.
-	reportLifetime = 1500 * time.Millisecond
+	reportLifetime = 2500 * time.Millisecond
 	// nodeRetention is how long a node that reports no more is taken to be running somewhere
 	// out of reach, unless it had settled.
 	nodeRetention = 15 * time.Second
--- a/canary/leader.go
+++ b/canary/leader.go
@@ -73,7 +73,8 @@
 	stage    stage
 	since    time.Time
 	step     uint64
-	answers  float64
+	// stageAnswers are the new version's answers until the stage began.
+	stageAnswers float64
 	// The number of all answers, and when it last rose; firstAt is when there were none.
 	allAnswers float64
 	answeredAt time.Time
@@ -81,10 +82,10 @@
 	toldAt     time.Time
 	endedAt    time.Time
 	isLate     bool
-	// answersBefore are the answers that only an earlier leader knew. wasTrusted reports
+	// inheritedAnswers are the answers that only an earlier leader knew. wasTrusted reports
 	// whether they spoke for the version; it counts until this node knows enough itself.
-	answersBefore float64
-	wasTrusted    bool
+	inheritedAnswers float64
+	wasTrusted       bool
 }
 
 // NewLeader returns a leader; Run starts it.
@@ -215,11 +216,11 @@
 func (l *Leader) takeOver(state *led, order zinniamast.RolloutOrder, record zinniamast.RolloutRecord) {
 	status := l.config.Canary.Status(order.Service, nil)
 	grant := status.Grant
-	state.answersBefore = max(0, record.Answers-status.Answers)
+	state.inheritedAnswers = max(0, record.Answers-status.Answers)
 	if grant.Order != order.Revision || grant.State.IsFinal() {
 		return
 	}
-	state.answersBefore = max(state.answersBefore, grant.Answers-status.Answers)
+	state.inheritedAnswers = max(state.inheritedAnswers, grant.Answers-status.Answers)
 	state.wasTrusted = grant.IsTrusted
 	switch {
 	case grant.IsSealed:
@@ -323,7 +324,7 @@
 		l.config.Logger.Info("rollout stage", "service", record.Service, "version", record.Version, "from", state.stage, "to", next,
 			"log_ratio", s.status.LogRatio, "answers", s.status.Answers, "all_answers", s.status.AllAnswers, "running_on_old", s.status.Standing.Running,
 			"new_replicas", s.newReady, "old_replicas", s.oldReady, "left", state.deadline.Sub(s.now).Round(time.Millisecond))
-		state.stage, state.since, state.answers = next, s.now, s.answers
+		state.stage, state.since, state.stageAnswers = next, s.now, s.answers
 		s.stage, s.since = next, s.now
 	} else if s.now.Sub(state.toldAt) < grantInterval {
 		return
@@ -339,13 +340,13 @@
 		deadline:      state.deadline,
 		stage:         state.stage,
 		since:         state.since,
-		answersBefore: state.answers,
+		answersBefore: state.stageAnswers,
 		status:        l.config.Canary.Status(record.Service, l.config.FailureDomains()),
 		within:        state.within,
 		exposureShare: l.config.ExposureShare,
 		exposureSlack: l.config.ExposureSlack,
 	}
-	s.answers = state.answersBefore + s.status.Answers
+	s.answers = state.inheritedAnswers + s.status.Answers
 	if s.status.IsTrusted || s.status.IsDoubted {
 		state.wasTrusted = false
 	}
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -78,7 +78,7 @@
 	return nil
 }
 
-// fetchRollouts asks a few other nodes for the rollouts once, when this node knows some. A
+// fetchRollouts asks other nodes for the rollouts, until one has answered. A
 // node that starts near the end of a rollout would otherwise send requests to replicas that
 // are about to stop.
 func (e *Entry) fetchRollouts(ctx context.Context) {
--- a/reports/share.go
+++ b/reports/share.go
@@ -27,8 +27,8 @@
 	// to another failure domain.
 	Node  string
 	Loads demand.Loads
-	// Rollouts are the querying node's reports on rollouts. If IsJudge is set, the answer
-	// contains those of all failure domains.
+	// Rollouts are the querying node's reports on rollouts. The answer contains those of its
+	// failure domain, or of all if IsJudge is set.
 	Rollouts []canary.NodeReport
 	IsJudge  bool
 }
@@ -120,9 +120,12 @@
 	}
 	answer := s.board.Since(ctx, query.FailureDomain, query.Position, min(query.Wait, maxQueryWait))
 	answer.Demand = s.config.Demand.Domains(query.FailureDomain)
-	if query.Node == "" || query.IsJudge {
-		answer.Rollouts = s.config.Rollouts.Domains(query.FailureDomain)
+	asked := query.FailureDomain
+	if query.Node != "" && !query.IsJudge {
+		// Others may know this node of the failure domain and not its reader.
+		asked = s.config.FailureDomain
 	}
+	answer.Rollouts = s.config.Rollouts.Domains(asked)
 	return answer
 }
 
@@ -202,9 +205,8 @@
 		})
 		position = answer.Position
 		_, known := answer.Demand[domain]
-		// Only the reader of a failure domain knows its reports on rollouts.
-		isReader := !s.config.Rollouts.IsActive() || len(answer.Rollouts) > 0
-		if err == nil && known && isReader {
+		knowsRollouts := !s.config.Rollouts.IsActive() || len(answer.Rollouts) > 0
+		if err == nil && known && knowsRollouts {
 			continue
 		}
 		failures++
