Split the longest files of the rollouts and of the registry

Moves alone: the judge's baseline and doubts, the orders and upstreams of the follower, and the nodes of the tests' world have files of their own.

--- a/canary/judge.go
+++ b/canary/judge.go
@@ -92,12 +92,6 @@
 	b.bad += other.bad
 }
 
-// baseline holds what the old versions did lately, with fading counts.
-type baseline struct {
-	failures  map[stratum]binary
-	durations map[stratum]*histogram
-}
-
 // judge is the state of the test for one rollout.
 type judge struct {
 	baseline baseline
@@ -134,56 +128,6 @@
 
 func (f finding) isBad() bool { return f.logBad >= condemnLog }
 
-// doubts are logarithms of likelihood ratios: of a version that fails doubtedFailures more
-// often than the old ones, and of one of whose answers doubtedSlow are slow, as of one that is
-// three times slower. A good version lowers them, also on the slowest replicas.
-type doubts struct {
-	failures, slow float64
-}
-
-const (
-	doubtedFailures = 0.05
-	doubtedSlow     = 0.75
-	// trustLog is the logarithm of the ratios below which a version is trusted, and
-	// maxDoubtLog bounds them, so that trust returns once trouble is over.
-	trustLog    = -2.0
-	maxDoubtLog = 3.0
-	minDoubtLog = -6.0
-)
-
-// isTrusted reports whether the answers speak for the version.
-func (d doubts) isTrusted() bool { return max(d.failures, d.slow) <= trustLog }
-
-// isDoubted reports whether the answers speak against the version.
-func (d doubts) isDoubted() bool { return max(d.failures, d.slow) > 0 }
-
-// add adds the answers of a slot, with the old versions' rates.
-func (d *doubts) add(b *baseline, tallies Tallies) {
-	failures, slow := 0.0, 0.0
-	// In a fixed order, all nodes get the same sums.
-	for _, cell := range slices.SortedFunc(maps.Keys(tallies), Cell.compare) {
-		tally := tallies[cell]
-		if !cell.IsNew {
-			continue
-		}
-		key := stratum{
-			route:   cell.Route,
-			measure: cell.Measure,
-		}
-		if cell.Measure == MeasureFirst {
-			usual := b.rate(key)
-			failures += tally.failures().ratio(usual, min(usual+doubtedFailures, 0.99))
-		}
-		if limit, ok := b.durations[key].slowBeyond(slowQuantiles[0]); ok {
-			key.slow = 1
-			usual := b.rate(key)
-			slow += tally.slow(limit).ratio(usual, max(doubtedSlow, (1+usual)/2))
-		}
-	}
-	d.failures = min(max(d.failures+failures, minDoubtLog), maxDoubtLog)
-	d.slow = min(max(d.slow+slow, minDoubtLog), maxDoubtLog)
-}
-
 // ratio returns the logarithm of the likelihood ratio of two rates of bad answers.
 func (b binary) ratio(usual, bad float64) float64 {
 	return b.bad*math.Log(bad/usual) + (b.answers-b.bad)*math.Log((1-bad)/(1-usual))
@@ -429,97 +373,3 @@
 	}
 	return highest + math.Log(sum/float64(len(logs)))
 }
-
-// learn adds a slot's answers of the old versions.
-func (b *baseline) learn(tallies Tallies) {
-	isFaded := false
-	for cell, tally := range tallies {
-		if cell.IsNew {
-			continue
-		}
-		if !isFaded {
-			// Without answers of the old versions, what is known of them stays.
-			b.fade()
-			isFaded = true
-		}
-		key := stratum{
-			route:   cell.Route,
-			measure: cell.Measure,
-		}
-		if cell.Measure == MeasureFirst {
-			sum := b.failures[key]
-			sum.add(tally.failures())
-			b.failures[key] = sum
-		}
-		if b.durations[key] == nil {
-			b.durations[key] = &histogram{}
-		}
-		for bucket, count := range tally.Buckets {
-			b.durations[key][min(bucket, maxBucket)] += float64(count)
-		}
-	}
-}
-
-func (b *baseline) fade() {
-	for key, sum := range b.failures {
-		b.failures[key] = binary{
-			answers: sum.answers * baselineRetention,
-			bad:     sum.bad * baselineRetention,
-		}
-	}
-	for _, durations := range b.durations {
-		for i := range durations {
-			durations[i] *= baselineRetention
-		}
-	}
-}
-
-// histogram counts answers by the bucket of their duration.
-type histogram [maxBucket + 1]float64
-
-// minLearned is the number of answers from which a distribution of durations is used.
-const minLearned = 10
-
-// slowBeyond returns the bucket beyond which an answer counts as slow; false if too few
-// answers are known.
-func (h *histogram) slowBeyond(quantile float64) (bucket int, ok bool) {
-	if h == nil {
-		return 0, false
-	}
-	total := h.beyond(-1)
-	if total < minLearned {
-		return 0, false
-	}
-	sum := 0.0
-	for i, count := range h {
-		if sum += count; sum >= quantile*total {
-			return max(i+slowBuckets, int(bucketOf(minSlow))), true
-		}
-	}
-	return maxBucket, true
-}
-
-// beyond returns the number of answers beyond a bucket.
-func (h *histogram) beyond(bucket int) float64 {
-	sum := 0.0
-	for i := bucket + 1; i < len(h); i++ {
-		sum += h[i]
-	}
-	return sum
-}
-
-// rate returns the earlier rate of bad answers of the old versions, on the safe side.
-func (b *baseline) rate(key stratum) float64 {
-	slow := key.slow
-	key.slow = 0
-	sum := b.failures[key]
-	if slow > 0 {
-		durations := b.durations[key]
-		limit, _ := durations.slowBeyond(slowQuantiles[slow-1])
-		sum = binary{
-			answers: durations.beyond(-1),
-			bad:     durations.beyond(limit),
-		}
-	}
-	return min((sum.bad+1)/(sum.answers+priorAnswers), maxRate)
-}
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -258,46 +258,6 @@
 	return true
 }
 
-// OrdersKnownUntil returns the store's position up to which this node knows the operators'
-// orders. A replica that was listed later may belong to an order that is not known yet.
-func (f *Follower) OrdersKnownUntil() uint64 { return f.ordersPosition.Load() }
-
-// applyOrders passes on the orders that are new, and those that a whole list lacks as
-// withdrawn.
-func (f *Follower) applyOrders(change ConfigChange) {
-	for _, reason := range change.Unreadable {
-		f.config.Logger.Warn("order unreadable, ignored", "cause", reason)
-	}
-	listed := map[string]bool{}
-	for _, order := range change.Orders {
-		listed[order.Service] = true
-		f.applyOrder(order)
-	}
-	if !change.IsWhole {
-		return
-	}
-	for service, known := range f.orders {
-		if !listed[service] && !known.IsWithdrawn {
-			f.applyOrder(zinniamast.RolloutOrder{
-				Service:     service,
-				Revision:    change.Position,
-				IsWithdrawn: true,
-			})
-		}
-	}
-}
-
-func (f *Follower) applyOrder(order zinniamast.RolloutOrder) {
-	if order.Revision <= f.orders[order.Service].Revision {
-		return
-	}
-	f.orders[order.Service] = order
-	f.peerFeed.putOrder(order)
-	if f.config.OnOrder != nil {
-		f.config.OnOrder(order)
-	}
-}
-
 // followReplicas keeps the replicas up to date.
 func (f *Follower) followReplicas(ctx context.Context) {
 	feed := feedState{
@@ -433,27 +393,6 @@
 	f.config.Upstreams.AddAll(upstreams)
 }
 
-func (f *Follower) newUpstream(r *Replica) *blackboard.Upstream {
-	market := zinniamast.OnDemand
-	if r.Reclaimable {
-		market = zinniamast.Reclaimable
-	}
-	return &blackboard.Upstream{
-		Instance: zinniamast.Instance{
-			ID:            r.ID,
-			FailureDomain: r.FailureDomain,
-			Market:        market,
-			Service:       r.Service,
-			Address:       r.Address,
-			Started:       r.Started,
-			Version:       r.Version,
-		},
-		Replica:  f.config.Build(r.ID, r.Address),
-		Slots:    r.Slots,
-		Revision: f.versions[r.ID],
-	}
-}
-
 // markLeaving marks a replica as leaving, so that it takes no new requests. It goes
 // away after the given time, or at an unknown time if that is zero.
 func (f *Follower) markLeaving(id string, in time.Duration) {
