Leave versions alone that come after a rollout has ended

By reading: a completed rollout sent everything to its version for good, also beside a later version that comes without an order, whose replicas would have stood idle while those of the rollout's version were replaced; and an order that was deleted after its end took its version's requests away. Now an ended rollout keeps requests only from versions that began to serve before its own, and its deletion changes nothing. TestLaterVersionServesAfterARollout.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -150,8 +150,8 @@
 
 // setOrder replaces the order of a service. The caller holds the lock.
 func (c *Canary) setOrder(s *service, order zinniamast.RolloutOrder) {
-	if order == s.order {
-		return
+	if order == s.order || order.IsWithdrawn && !s.isActive() {
+		return // A rollout that has ended stays as it is.
 	}
 	if order.Revision > s.order.Revision && !order.IsWithdrawn {
 		s.reset()
@@ -292,6 +292,11 @@
 		}
 	}
 	share := s.share(barred, now)
+	if s.grant.Order == s.order.Revision && s.grant.State == zinniamast.RolloutCompleted {
+		return Selection{
+			AvoidVersions: append(barred, s.versions.before(target)...),
+		}
+	}
 	if share >= 1 {
 		return Selection{
 			AvoidVersions: append(barred, s.versions.except(target)...),
--- a/canary/select_test.go
+++ b/canary/select_test.go
@@ -192,6 +192,31 @@
 	check.True(!isMoving)
 }
 
+// Guards against a version that comes after a rollout without an order and gets no requests, as if the rollout still went on.
+func TestLaterVersionServesAfterARollout(t *testing.T) {
+	check := is.New(t)
+	s := newOrderedSelector()
+	completed := s.grant(1, 2)
+	completed.State = zinniamast.RolloutCompleted
+	s.Apply(completed)
+	s.add("v3", s.now.Add(time.Second), 15, 2)
+	for _, isWithdrawn := range []bool{false, true} {
+		if isWithdrawn {
+			s.SetOrder(zinniamast.RolloutOrder{
+				Service:     worldService,
+				Revision:    18,
+				IsWithdrawn: true,
+			})
+		}
+		selection := s.Select(canary.Query{
+			Service: worldService,
+			Request: "r-1",
+		})
+		check.Equal(selection.AvoidVersions, []string{oldVersion})
+		check.True(!s.IsActive())
+	}
+}
+
 // Guards against a version that is tried again, and one that an unknown verdict or order brings back.
 func TestCondemnedVersionGetsNothing(t *testing.T) {
 	check := is.New(t)
--- a/canary/versions.go
+++ b/canary/versions.go
@@ -99,6 +99,17 @@
 	return others
 }
 
+// before returns the versions that began to serve before the given one.
+func (v *versions) before(name string) []string {
+	var earlier []string
+	for other, known := range v.all {
+		if other != name && known.isBefore(v.all[name]) {
+			earlier = append(earlier, other)
+		}
+	}
+	return earlier
+}
+
 // usable returns the number of replicas that do not leave.
 func (v *version) usable() int {
 	count := 0
