Add leaving replicas as leaving

Cause: since lists are added at once, a replica that is already leaving was marked so only after the whole list had been added; for a long list that is milliseconds, before it was microseconds. Now it is in the table as leaving from the first moment.

--- a/blackboard/upstreams.go
+++ b/blackboard/upstreams.go
@@ -52,6 +52,15 @@
 	return !slices.Contains(request.Avoid, u.Instance.ID)
 }
 
+// BeginLeaving marks a replica that is not in the table yet as leaving, so that it never takes
+// a request. A zero time means that the time at which it goes away is unknown.
+func (u *Upstream) BeginLeaving(at time.Time) {
+	u.leaving.Store(true)
+	if !at.IsZero() {
+		u.leavesAt.Store(at.UnixNano())
+	}
+}
+
 // LeavesAt returns the time at which the replica goes away, or the zero time if that
 // is unknown.
 func (u *Upstream) LeavesAt() time.Time {
@@ -139,6 +148,9 @@
 		if u.isNew(upstream) {
 			u.byID[upstream.Instance.ID] = upstream
 			added = append(added, upstream)
+			if upstream.Leaving() {
+				u.barredStarts[upstream.Instance.ID] = upstream.Instance.Started
+			}
 		}
 	}
 	if len(added) > 0 {
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -396,11 +396,7 @@
 // markLeaving marks a replica as leaving, so that it takes no new requests. It goes
 // away after the given time, or at an unknown time if that is zero.
 func (f *Follower) markLeaving(id string, in time.Duration) {
-	var at time.Time
-	if in > 0 {
-		at = time.Now().Add(in)
-	}
-	if f.config.Upstreams.MarkLeaving(id, at) {
+	if f.config.Upstreams.MarkLeaving(id, leavesAt(in)) {
 		f.config.Logger.Info("replica leaving", "replica", id, "leaves_in", in)
 	}
 }
--- a/registry/follower_test.go
+++ b/registry/follower_test.go
@@ -409,3 +409,19 @@
 		return err == nil && next.Config != nil && next.Config.Version == 2
 	})
 }
+
+// Guards against a leaving replica that takes requests while the rest of a long list is applied.
+func TestLeavingReplicaOfALongListNeverTakesRequests(t *testing.T) {
+	f := newFixture(t)
+	const count = 2000
+	f.store.PutJSON("servers", "i-leaving", drainingEntry(1))
+	for i := range count {
+		f.store.PutJSON("servers", fmt.Sprint("j-", i), readyEntry(1))
+	}
+	for deadline := time.Now().Add(10 * time.Second); len(f.upstreams.Of("svc")) <= count && time.Now().Before(deadline); {
+		if u := f.upstreams.Get("i-leaving"); u != nil {
+			f.is.True(u.Leaving())
+		}
+	}
+	f.is.Equal(len(f.upstreams.Of("svc")), count+1)
+}
--- a/registry/upstream.go
+++ b/registry/upstream.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"time"
+
 	"zinniamast"
 	"zinniamast/blackboard"
 )
@@ -11,7 +13,7 @@
 	if r.Reclaimable {
 		market = zinniamast.Reclaimable
 	}
-	return &blackboard.Upstream{
+	u := &blackboard.Upstream{
 		Instance: zinniamast.Instance{
 			ID:            r.ID,
 			FailureDomain: r.FailureDomain,
@@ -25,4 +27,16 @@
 		Slots:    r.Slots,
 		Revision: f.versions[r.ID],
 	}
+	if r.Draining {
+		u.BeginLeaving(leavesAt(r.LeavesIn))
+	}
+	return u
+}
+
+// leavesAt returns when a replica goes away, or the zero time if that is unknown.
+func leavesAt(in time.Duration) time.Time {
+	if in <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(in)
 }
