Broadcast changed contacts of a failure domain a second time

Seen again in one of 18 plays of the package's tests of nine and three nodes, six processes side by side: by its status the node held a summary of the other domain with two contacts, heard 31 ms after that domain's first member knew of its third, and nothing after it for 40 s; its two neighbours knew three.

Cause, inferred from that status and log: summaries are ordered by the sender's clock, and a node that has not heard of a change yet sends the older list under the newer version. A representative broadcasts contacts only when they change, or after five minutes, so a member that got the outdated list directly keeps it until then.

A representative now broadcasts changed contacts once more two seconds later, with the version that is newest then.

--- a/membership/rejoin_test.go
+++ b/membership/rejoin_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"zinniamast"
+	"zinniamast/membership"
 )
 
 // contactTime is the time after which a node that can reach the others again counts as one of them.
@@ -53,3 +54,38 @@
 		}
 	}
 }
+
+// Guards against a node that keeps an outdated list of another failure domain's contacts for minutes.
+func TestOutdatedContactsAreReplaced(t *testing.T) {
+	const perDomain = 3
+	for receiver := 0; receiver < 2*perDomain; receiver += 2 {
+		t.Run(fmt.Sprint("receiver ", receiver), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newNetwork()
+				var nodes []*node
+				for i := range 2 * perDomain {
+					nodes = append(nodes, n.start(t, fmt.Sprintf("node-%03d", i), fmt.Sprintf("domain-%02d", i%2), "node-000", "node-001"))
+				}
+				knowsAll := func(each *node) bool { return len(each.table.All()) == len(nodes) }
+				waitUntil(10*time.Second, allOf(nodes, knowsAll))
+				sender := nodes[1]
+				summary := sender.Receive(&membership.Exchange{
+					From:   "node-000",
+					Domain: "domain-00",
+				}).Summaries[0]
+				is.Equal(len(summary.Contacts), perDomain)
+				summary.Contacts = summary.Contacts[:perDomain-1]
+				nodes[receiver].Receive(&membership.Exchange{
+					From:      sender.id,
+					Domain:    sender.domain,
+					Summaries: []membership.Summary{summary},
+				})
+				time.Sleep(10 * time.Second)
+				for _, each := range nodes {
+					is.True(knowsAll(each))
+				}
+			})
+		})
+	}
+}
--- a/membership/summary.go
+++ b/membership/summary.go
@@ -12,10 +12,13 @@
 )
 
 // summaryTTL is the lifetime of a summary within a failure domain. It is broadcast again
-// every summaryRepeatInterval, well before it expires.
+// every summaryRepeatInterval, well before it expires, and once summaryConfirmInterval
+// after its contacts have changed: a member may have received an outdated summary under a
+// newer version meanwhile, directly from a node that had not heard of the change.
 const (
-	summaryTTL            = 11 * time.Minute
-	summaryRepeatInterval = 5 * time.Minute
+	summaryTTL             = 11 * time.Minute
+	summaryRepeatInterval  = 5 * time.Minute
+	summaryConfirmInterval = 2 * time.Second
 )
 
 // domain is this node's view of another failure domain.
@@ -30,6 +33,8 @@
 	broadcastAt time.Time
 	// broadcastContacts holds the contacts in that broadcast.
 	broadcastContacts []Record
+	// isConfirmed means that these contacts have been broadcast twice.
+	isConfirmed bool
 	// contactIndex selects the contact to use; it advances when an exchange fails.
 	contactIndex int
 }
@@ -251,9 +256,14 @@
 func (m *Membership) broadcastSummary(d *domain) {
 	now := time.Now()
 	same := slices.Equal(d.broadcastContacts, d.summary.Contacts)
-	if same && now.Sub(d.broadcastAt) < summaryRepeatInterval {
+	interval := summaryConfirmInterval
+	if d.isConfirmed {
+		interval = summaryRepeatInterval
+	}
+	if same && now.Sub(d.broadcastAt) < interval {
 		return
 	}
+	d.isConfirmed = same
 	d.broadcastAt = now
 	d.broadcastContacts = d.summary.Contacts
 	value, err := json.Marshal(d.summary)
@@ -292,6 +302,7 @@
 		}
 		d.broadcastAt = time.Time{}
 		d.broadcastContacts = nil
+		d.isConfirmed = false
 		m.gossip.remove(gossipKey{
 			topic:  topicSummary,
 			key:    d.summary.Domain,
