Count a stream's mean pause after eight of its events

A version that is three times slower was told late: the pauses of a stream, which differ least between replicas and so say most, were counted at its end, which a slow version's long streams reach only after many more have begun.

The mean pause of the first eight events is counted as soon as these have arrived; shorter streams are counted at their end as before. The virtual world does the same.

--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -30,8 +30,8 @@
 	MeasurePause
 )
 
-// Sample is what one send of a request has shown so far. A stream gives two: one with its
-// first event, and one with its end.
+// Sample is what one send of a request has shown so far. A stream gives up to three: with its
+// first event, with its pauses, and with its end.
 type Sample struct {
 	Service       string
 	Route         string
--- a/canary/world_test.go
+++ b/canary/world_test.go
@@ -32,6 +32,8 @@
 	exposureSlack = 50
 	badLimit      = 50
 	rollbackBound = 5 * time.Second
+	// pauseEvents is the number of events after which a stream's mean pause is counted.
+	pauseEvents = 8
 )
 
 // badness is what is wrong with the new version.
@@ -433,6 +435,16 @@
 			}
 		})
 	}
+	isLong := k.events >= pauseEvents && !isFailed
+	if isLong {
+		w.after(min(first+(pauseEvents-1)*pause, took), func() {
+			if run.life == run.node.life && !run.isCut {
+				paused := sample
+				paused.Pause = pause
+				run.node.canary.Observe(paused)
+			}
+		})
+	}
 	w.after(took, func() {
 		delete(w.running, run)
 		r.running--
@@ -447,7 +459,7 @@
 			}
 		}
 		sample.IsFailed, sample.Took = isFailed, took
-		if k.events > 0 {
+		if k.events > 0 && !isLong {
 			sample.Pause = pause
 		}
 		run.node.canary.Observe(sample)
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -133,6 +133,7 @@
 // resumes the stream sends that event again from its start.
 func (h *Handler) forwardStream(t *takeover) *zinniamast.UpstreamError {
 	a, c, s := t.answer, t.call, t.current
+	eventsBefore := a.events
 	for events := s.firstEvents; len(events) > 0; events = s.stream.next() {
 		// A caller that reads slowly blocks the write. Nothing is read from the
 		// replica meanwhile, so the silence watch is suspended.
@@ -151,6 +152,7 @@
 		if err := a.writeEvents(events, s.response); err != nil {
 			return upstreamError(s.upstream, zinniamast.FailureStopped, err)
 		}
+		h.observeVersionPause(c, s, a.events-eventsBefore)
 		t.watch.Received()
 	}
 	if a.begun && s.stream.isWhole() {
--- a/forward/rollout.go
+++ b/forward/rollout.go
@@ -17,8 +17,12 @@
 	Observe(sample canary.Sample)
 }
 
-// minPauseEvents is the number of events from which the mean pause of a stream is known.
-const minPauseEvents = 3
+// The mean pause of a stream is known after pauseEvents events, or at its end if it has had
+// at least minPauseEvents. A slow version's long streams end only after many more have begun.
+const (
+	pauseEvents    = 8
+	minPauseEvents = 3
+)
 
 // observeVersionBegan counts the time to the first piece of an answer for the rollout of its
 // replica's version, without waiting for the end of a stream.
@@ -31,12 +35,24 @@
 	h.config.Rollouts.Observe(sample)
 }
 
+// observeVersionPause counts the mean pause of a stream for the rollout of its replica's
+// version, once enough of its events have arrived.
+func (h *Handler) observeVersionPause(c *call, s *send, events int) {
+	if s.hasPause || s.began.IsZero() || events < pauseEvents {
+		return
+	}
+	s.hasPause = true
+	sample := c.versionSample(s)
+	sample.Pause = time.Since(s.began) / time.Duration(events-1)
+	h.config.Rollouts.Observe(sample)
+}
+
 // observeVersionEnd counts the end of a send for the rollout of its replica's version, as far
 // as it shows how the version answers.
 func (h *Handler) observeVersionEnd(c *call, s *send, failure *zinniamast.UpstreamError, events int) {
 	sample := c.versionSample(s)
 	sample.Took = time.Since(s.started)
-	if !s.began.IsZero() && events >= minPauseEvents {
+	if !s.hasPause && !s.began.IsZero() && events >= minPauseEvents {
 		sample.Pause = time.Since(s.began) / time.Duration(events-1)
 	}
 	switch {
--- a/forward/send.go
+++ b/forward/send.go
@@ -40,6 +40,8 @@
 
 	// began is when the first piece of the answer arrived; zero before that.
 	began time.Time
+	// hasPause reports whether the mean pause of the stream has been counted.
+	hasPause bool
 	// isWriting reports whether the quarantine knows that the replica has been writing the
 	// answer for a while.
 	isWriting bool
