Compare odds exactly, and let a new leader know what others have found

Causes and changes: - The division of bad answers between the versions was compared as a ratio of rates. Half of all answers can be slow, so that a version three times slower could hardly exceed the margin. Readers now send what they have found with the sums of their failure domain; the leader uses the finding over the most answers, and the stage goes on where the earlier leader left it. - Trust is part of the record, so the death of all nodes does not lose it. - Trust compared the answers with rates that lag behind: a quarter of all replicas failing made a bad version look good just after. The failures of the same half second now count in the rate, and slow answers have a margin of odds. - A version that is not trusted at the end of its time is rolled back; before, its rollout never ended. - Trial: 0.32 of the exposure, 0.38 while it is not trusted, as soon as it opens.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -77,9 +77,7 @@
 	judge *judge
 	// closedUntil is the number of the first slot that the judge has not closed.
 	closedUntil int64
-	// judgedFrom is the number of the first slot that was judged.
-	judgedFrom int64
-	finding    finding
+	finding     Finding
 }
 
 // New returns a canary that subscribes to the news of the other nodes.
@@ -135,8 +133,8 @@
 	s.nodes = map[string]receivedNode{}
 	s.domains = map[string]receivedDomain{}
 	s.judge = newJudge()
-	s.closedUntil, s.judgedFrom = 0, 0
-	s.finding = finding{}
+	s.closedUntil = 0
+	s.finding = Finding{}
 }
 
 // SetOrder records an order of the operator. A later order replaces an earlier one.
@@ -397,7 +395,7 @@
 
 // condemnAndTell bars the new version of a service and tells the others. The caller holds
 // the lock.
-func (c *Canary) condemnAndTell(s *service, f finding) {
+func (c *Canary) condemnAndTell(s *service, f Finding) {
 	v := verdict{
 		Service: s.name,
 		Version: s.order.Version,
@@ -405,7 +403,7 @@
 	}
 	if c.condemn(s, v) {
 		c.config.Logger.Warn("version condemned", "service", s.name, "version", v.Version, "order", v.Order,
-			"log_ratio", f.logBad, "answers", f.answers, "all_answers", f.total, "share", s.grant.Share)
+			"log_ratio", f.LogBad, "answers", f.Answers, "all_answers", f.Total, "share", s.grant.Share)
 		c.publish(zinniamast.TopicVersionVerdict, s.name, v)
 	}
 }
--- a/canary/doubts.go
+++ b/canary/doubts.go
@@ -5,16 +5,19 @@
 	"slices"
 )
 
-// doubts are logarithms of likelihood ratios: of a version that fails doubtedFailures more
+// Doubts are logarithms of likelihood ratios: of a version that fails doubtedFailures more
 // often than the old ones, and of one of whose answers doubtedSlow are slow, as of one that is
 // three times slower. A good version lowers them, also on the slowest replicas.
-type doubts struct {
-	failures, slow float64
+type Doubts struct {
+	Failures float64
+	Slow     float64
 }
 
 const (
 	doubtedFailures = 0.05
 	doubtedSlow     = 0.75
+	// doubtedMargin is by how much the odds of slow answers may be higher: replicas differ.
+	doubtedMargin = 2.0
 	// trustLog is the logarithm of the ratios below which a version is trusted, and
 	// maxDoubtLog bounds them, so that trust returns once trouble is over.
 	trustLog    = -2.0
@@ -22,14 +25,29 @@
 	minDoubtLog = -6.0
 )
 
+// blendWeight is the number of answers that an earlier rate counts for beside those of a slot.
+const blendWeight = 20
+
+// blend returns the rate of bad answers of a slot, with an earlier rate: trouble that begins
+// or ends meets both versions at once.
+func (b binary) blend(rate float64) float64 {
+	return (b.bad + blendWeight*rate) / (b.answers + blendWeight)
+}
+
+// beyondOdds returns the rate whose odds are higher than those of another by a factor.
+func beyondOdds(rate, factor float64) float64 {
+	odds := factor * rate / (1 - rate)
+	return odds / (1 + odds)
+}
+
 // isTrusted reports whether the answers speak for the version.
-func (d doubts) isTrusted() bool { return max(d.failures, d.slow) <= trustLog }
+func (d Doubts) isTrusted() bool { return max(d.Failures, d.Slow) <= trustLog }
 
 // isDoubted reports whether the answers speak against the version.
-func (d doubts) isDoubted() bool { return max(d.failures, d.slow) > 0 }
+func (d Doubts) isDoubted() bool { return max(d.Failures, d.Slow) > 0 }
 
 // add adds the answers of a slot, with the old versions' rates.
-func (d *doubts) add(b *baseline, tallies Tallies) {
+func (d *Doubts) add(b *baseline, tallies Tallies) {
 	failures, slow := 0.0, 0.0
 	// In a fixed order, all nodes get the same sums.
 	for _, cell := range slices.SortedFunc(maps.Keys(tallies), Cell.compare) {
@@ -41,16 +59,20 @@
 			route:   cell.Route,
 			measure: cell.Measure,
 		}
+		old := tallies[Cell{
+			Route:   cell.Route,
+			Measure: cell.Measure,
+		}]
 		if cell.Measure == MeasureFirst {
-			usual := b.rate(key)
+			usual := old.failures().blend(b.rate(key))
 			failures += tally.failures().ratio(usual, min(usual+doubtedFailures, 0.99))
 		}
 		if limit, ok := b.durations[key].slowBeyond(slowQuantiles[0]); ok {
 			key.slow = 1
-			usual := b.rate(key)
+			usual := beyondOdds(b.rate(key), doubtedMargin)
 			slow += tally.slow(limit).ratio(usual, max(doubtedSlow, (1+usual)/2))
 		}
 	}
-	d.failures = min(max(d.failures+failures, minDoubtLog), maxDoubtLog)
-	d.slow = min(max(d.slow+slow, minDoubtLog), maxDoubtLog)
+	d.Failures = min(max(d.Failures+failures, minDoubtLog), maxDoubtLog)
+	d.Slow = min(max(d.Slow+slow, minDoubtLog), maxDoubtLog)
 }
--- a/canary/exchange.go
+++ b/canary/exchange.go
@@ -65,6 +65,8 @@
 	Step     uint64
 	Slots    Slots
 	Standing Standing
+	// Finding is what the node that made the sum has found, over all failure domains.
+	Finding Finding
 	// Age is the time since the sum was made; it is relative because nodes share no clock.
 	Age time.Duration
 }
@@ -164,6 +166,7 @@
 		Fence:         s.grant.Fence,
 		Step:          s.grant.Step,
 		Slots:         Slots{},
+		Finding:       s.finding,
 	}
 	for _, node := range live {
 		if _, ok := s.nodes[node]; !ok {
@@ -270,7 +273,7 @@
 	}
 	if s.closedUntil == 0 {
 		s.closedUntil = first
-		s.judgedFrom = first
+		s.judge.from = first
 	}
 	var closed, open []Tallies
 	for number := s.closedUntil; number <= slot+1; number++ {
@@ -294,6 +297,18 @@
 	}
 }
 
+// bestFinding returns the finding over the most answers: this node's, or that of a node that
+// has judged for longer.
+func (s *service) bestFinding(now time.Time) Finding {
+	best := s.finding
+	for _, received := range s.domains {
+		if found := received.report.Finding; found.Total > best.Total && now.Sub(received.at) <= reportLifetime {
+			best = found
+		}
+	}
+	return best
+}
+
 // Status is what a node knows of the rollout of a service.
 type Status struct {
 	Service string
@@ -303,6 +318,8 @@
 	LogRatio   float64
 	Answers    float64
 	AllAnswers float64
+	// OwnAnswers are those that this node knows itself.
+	OwnAnswers float64
 	// Rate is the number of answers of all versions a second.
 	Rate        float64
 	IsCondemned bool
@@ -325,21 +342,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.service(name)
+	found := s.bestFinding(now)
 	status := Status{
 		Service:     name,
 		Version:     s.order.Version,
 		Grant:       s.grant,
-		LogRatio:    s.finding.logBad,
-		Answers:     s.finding.answers,
-		AllAnswers:  s.finding.total,
+		LogRatio:    found.LogBad,
+		Answers:     found.Answers,
+		AllAnswers:  found.Total,
+		OwnAnswers:  s.finding.Answers,
+		Rate:        found.rate(slotOf(c.config.TrueTime())),
 		IsCondemned: s.condemned[s.order.Version],
-		IsTrusted:   s.finding.doubts.isTrusted(),
-		IsDoubted:   s.finding.doubts.isDoubted(),
+		IsTrusted:   found.Doubts.isTrusted(),
+		IsDoubted:   found.Doubts.isDoubted(),
 		IsComplete:  true,
 	}
-	if span := slotLength * time.Duration(slotOf(c.config.TrueTime())-s.judgedFrom); s.judgedFrom > 0 && span > minRateSpan {
-		status.Rate = s.finding.total / span.Seconds()
-	}
 	for _, domain := range expected {
 		received, ok := s.domains[domain]
 		if !ok || now.Sub(received.at) > reportLifetime || received.report.Fence != s.grant.Fence {
--- a/canary/judge.go
+++ b/canary/judge.go
@@ -102,7 +102,9 @@
 	answers map[uint32]float64
 	total   float64
 	// doubts are the sums of what speaks for a version that is bad enough to be kept back.
-	doubts doubts
+	doubts Doubts
+	// from is the number of the first slot; zero before it is known.
+	from int64
 }
 
 func newJudge() *judge {
@@ -116,17 +118,30 @@
 	}
 }
 
-// finding is the result of the test.
-type finding struct {
-	// logBad is the logarithm of the likelihood ratio.
-	logBad float64
-	// answers is the number of the new version's answers, and total that of all.
-	answers float64
-	total   float64
-	doubts  doubts
+// Finding is the result of the test.
+type Finding struct {
+	// LogBad is the logarithm of the likelihood ratio.
+	LogBad float64
+	// Answers is the number of the new version's answers, and Total that of all, from the slot
+	// numbered From on.
+	Answers float64
+	Total   float64
+	From    int64
+	Doubts  Doubts
 }
 
-func (f finding) isBad() bool { return f.logBad >= condemnLog }
+// isBad reports whether the version is condemned.
+func (f *Finding) isBad() bool { return f.LogBad >= condemnLog }
+
+// rate returns the number of answers of all versions a second until a slot; zero if too few
+// slots are known.
+func (f *Finding) rate(slot int64) float64 {
+	span := slotLength * time.Duration(slot-f.From)
+	if f.From == 0 || span <= minRateSpan {
+		return 0
+	}
+	return f.Total / span.Seconds()
+}
 
 // ratio returns the logarithm of the likelihood ratio of two rates of bad answers.
 func (b binary) ratio(usual, bad float64) float64 {
@@ -144,7 +159,7 @@
 }
 
 // find returns the result over the closed slots and the given open ones.
-func (j *judge) find(open []Tallies) finding {
+func (j *judge) find(open []Tallies) Finding {
 	all := map[uint32]strata{}
 	for domain, s := range j.closed {
 		all[domain] = strata{}
@@ -153,33 +168,34 @@
 		}
 	}
 	answers := map[uint32]float64{}
-	found := finding{
-		total:  j.total,
-		doubts: j.doubts,
+	found := Finding{
+		Total:  j.total,
+		From:   j.from,
+		Doubts: j.doubts,
 	}
 	for domain, count := range j.answers {
 		answers[domain] = count
 	}
 	for _, tallies := range open {
 		j.score(all, answers, tallies)
-		found.doubts.add(&j.baseline, tallies)
-		found.total += tallies.total()
+		found.Doubts.add(&j.baseline, tallies)
+		found.Total += tallies.total()
 	}
 	used := 0
 	for domain, count := range answers {
-		found.answers += count
+		found.Answers += count
 		if domain != 0 && count >= minDomainAnswers {
 			used++
 		}
 	}
 	if used < 2 {
-		found.logBad = all[0].logMean()
+		found.LogBad = all[0].logMean()
 		return found
 	}
-	found.logBad = math.Inf(1)
+	found.LogBad = math.Inf(1)
 	for domain, count := range answers {
 		if count >= minDomainAnswers {
-			found.logBad = min(found.logBad, all[domain].logMean())
+			found.LogBad = min(found.LogBad, all[domain].logMean())
 		}
 	}
 	return found
@@ -331,29 +347,19 @@
 	if key.slow > 0 {
 		margin = slowMargin
 	}
+	if old.answers >= minCompared*fresh.answers {
+		return compareCounts(fresh, old, margin)
+	}
 	for i, factor := range hypotheses {
-		if old.answers >= minCompared*fresh.answers {
-			ratios[i] = compareCounts(fresh, old, margin, factor)
-		} else {
-			ratios[i] = compareRate(fresh, j.baseline.rate(key), margin, factor)
-		}
+		ratios[i] = compareRate(fresh, j.baseline.rate(key), margin, factor)
 	}
 	return ratios
 }
 
-// compareCounts returns the logarithm of the likelihood ratio of the bad answers' division
-// between the versions.
-func compareCounts(fresh, old binary, margin, factor float64) float64 {
-	ratio := margin * fresh.answers / old.answers
-	usual, bad := ratio/(1+ratio), factor*ratio/(1+factor*ratio)
-	return fresh.bad*math.Log(bad/usual) + old.bad*math.Log((1-bad)/(1-usual))
-}
-
-// compareRate is compareCounts with a known rate of bad answers of the old versions.
+// compareRate is compareCounts for one hypothesis, with a known rate of bad answers of the
+// old versions.
 func compareRate(fresh binary, rate, margin, factor float64) float64 {
-	usual := min(margin*rate, 0.5)
-	bad := min(factor*usual, (1+usual)/2)
-	return fresh.ratio(usual, bad)
+	return fresh.ratio(beyondOdds(rate, margin), beyondOdds(rate, margin*factor))
 }
 
 // logMean returns the logarithm of the mean likelihood ratio over the strata and hypotheses.
--- a/canary/leader.go
+++ b/canary/leader.go
@@ -82,9 +82,11 @@
 	toldAt     time.Time
 	endedAt    time.Time
 	isLate     bool
-	// inheritedAnswers are the answers that only an earlier leader knew. wasTrusted reports
-	// whether they spoke for the version; it counts until this node knows enough itself.
+	// inheritedAnswers are the answers that an earlier leader knew, and ownBefore those that
+	// this node knew then. wasTrusted reports whether they spoke for the version; it counts
+	// until enough is known since.
 	inheritedAnswers float64
+	ownBefore        float64
 	wasTrusted       bool
 }
 
@@ -216,12 +218,13 @@
 func (l *Leader) takeOver(state *led, order zinniamast.RolloutOrder, record zinniamast.RolloutRecord) {
 	status := l.config.Canary.Status(order.Service, nil)
 	grant := status.Grant
-	state.inheritedAnswers = max(0, record.Answers-status.Answers)
+	state.inheritedAnswers, state.ownBefore = record.Answers, status.OwnAnswers
+	state.wasTrusted = record.IsTrusted
 	if grant.Order != order.Revision || grant.State.IsFinal() {
 		return
 	}
-	state.inheritedAnswers = max(state.inheritedAnswers, grant.Answers-status.Answers)
-	state.wasTrusted = grant.IsTrusted
+	state.inheritedAnswers = max(state.inheritedAnswers, grant.Answers)
+	state.wasTrusted = state.wasTrusted || grant.IsTrusted
 	switch {
 	case grant.IsSealed:
 		state.stage = stageSealed
@@ -231,7 +234,13 @@
 		state.stage = stageHalf
 	case grant.Share >= 0.25 && grant.IsTrusted:
 		state.stage = stageQuarter
+	case grant.Share > 0:
+		state.stage = stageTrial
+	default:
+		return
 	}
+	// The stage goes on where the earlier leader left it.
+	state.since = state.since.Add(-minTrial)
 }
 
 // maxBarredVersions bounds the versions that a record names.
@@ -257,7 +266,7 @@
 		next.Abandoned = appendVersion(record.Abandoned, record.Version)
 	}
 	next.Abandoned = slices.DeleteFunc(slices.Clone(next.Abandoned), func(v string) bool { return v == order.Version })
-	next.Version, next.Answers = order.Version, 0
+	next.Version, next.Answers, next.IsTrusted = order.Version, 0, false
 	next.Started = l.config.TrueTime()
 	next.State = zinniamast.RolloutInProgress
 	if slices.Contains(record.Condemned, order.Version) || l.config.Canary.Status(order.Service, nil).IsCondemned {
@@ -310,7 +319,7 @@
 	}
 	if s.stage == stageTrial && s.answers-record.Answers >= recordedExposure*s.exposure() {
 		// A leader that starts after the loss of all nodes knows what was spent.
-		record.Answers = s.answers
+		record.Answers, record.IsTrusted = s.answers, s.isTrusted
 		l.write(ctx, state, record)
 		return
 	}
@@ -321,6 +330,12 @@
 		return
 	}
 	if next != state.stage {
+		if record.IsTrusted != s.isTrusted {
+			// It also tells a leader that starts after the loss of all nodes.
+			record.IsTrusted = s.isTrusted
+			l.write(ctx, state, record)
+			record = l.records[record.Service]
+		}
 		l.config.Logger.Info("rollout stage", "service", record.Service, "version", record.Version, "from", state.stage, "to", next,
 			"log_ratio", s.status.LogRatio, "answers", s.status.Answers, "all_answers", s.status.AllAnswers, "running_on_old", s.status.Standing.Running,
 			"new_replicas", s.newReady, "old_replicas", s.oldReady, "left", state.deadline.Sub(s.now).Round(time.Millisecond))
@@ -346,7 +361,7 @@
 		exposureShare: l.config.ExposureShare,
 		exposureSlack: l.config.ExposureSlack,
 	}
-	s.answers = state.inheritedAnswers + s.status.Answers
+	s.answers = state.answers(&s.status, now)
 	if s.status.IsTrusted || s.status.IsDoubted {
 		state.wasTrusted = false
 	}
@@ -368,6 +383,24 @@
 	return s
 }
 
+const (
+	// handoverTime is the time after a takeover in which the counts of the other nodes arrive.
+	// If they hold handedOver of what the earlier leader knew, nothing was lost.
+	handoverTime = 1500 * time.Millisecond
+	handedOver   = 0.8
+)
+
+// answers returns the number of the new version's answers, those before a takeover included.
+func (l *led) answers(status *Status, now time.Time) float64 {
+	if now.Sub(l.firstAt) <= handoverTime && status.Answers >= handedOver*l.inheritedAnswers {
+		l.inheritedAnswers = 0
+	}
+	if l.inheritedAnswers == 0 {
+		return status.Answers
+	}
+	return max(status.Answers, l.inheritedAnswers+status.OwnAnswers-l.ownBefore)
+}
+
 // tell grants what a stage allows.
 func (l *Leader) tell(state *led, record zinniamast.RolloutRecord, s *situation) {
 	state.step++
--- a/canary/metrics.go
+++ b/canary/metrics.go
@@ -34,6 +34,6 @@
 // observe updates the metrics of a service.
 func (m *metrics) observe(s *service) {
 	m.share.WithLabelValues(s.name, s.order.Version).Set(s.grant.Share)
-	m.logRatio.WithLabelValues(s.name, s.order.Version).Set(s.finding.logBad)
-	m.answers.WithLabelValues(s.name, s.order.Version).Set(s.finding.answers)
+	m.logRatio.WithLabelValues(s.name, s.order.Version).Set(s.finding.LogBad)
+	m.answers.WithLabelValues(s.name, s.order.Version).Set(s.finding.Answers)
 }
--- a/canary/plan.go
+++ b/canary/plan.go
@@ -33,12 +33,12 @@
 	// trialFraction is the part of the permitted exposure that the trial may use, and
 	// openingFraction the part of that which it may use in the first openingTime, until the
 	// new version is trusted. The rest is spread over the time until the requests must move.
-	trialFraction   = 0.28
+	trialFraction   = 0.32
 	openingFraction = 0.6
 	openingTime     = 4 * time.Second
-	// lateFraction is the part of the permitted exposure that the trial may use if the
-	// requests must move and the new version is not trusted yet.
-	lateFraction = 0.38
+	// untrustedFraction is the part of the permitted exposure that the trial may use after
+	// that while the new version is not trusted yet.
+	untrustedFraction = 0.38
 	// maxTrialShare bounds the share where there are few requests, and minTrialShare keeps
 	// some answers coming once the exposure is used.
 	maxTrialShare = 0.2
@@ -199,9 +199,8 @@
 	case elapsed < openingTime:
 		left = openingFraction*trialFraction*exposure - s.answers
 		span = openingTime - elapsed
-	case span < 0:
-		left = lateFraction*exposure - s.answers
-		span = openingTime
+	default:
+		left = untrustedFraction*exposure - s.answers
 	}
 	expected := s.rate * max(span, minSpan).Seconds()
 	if expected <= 0 {
@@ -210,10 +209,10 @@
 	return min(max(left/expected, minTrialShare), maxTrialShare)
 }
 
-// hasFailedTrial reports whether the time is up and the answers speak against the new
-// version, although not enough to condemn it.
+// hasFailedTrial reports whether the time is up and the answers do not speak for the new
+// version, although they may not be enough to condemn it.
 func (s *situation) hasFailedTrial() bool {
-	return s.stage == stageTrial && s.now.After(s.deadline.Add(-finishMargin)) && s.mustFall() && s.answers >= fewAnswers
+	return s.stage == stageTrial && s.now.After(s.deadline.Add(-finishMargin)) && !s.mayRise() && s.answers >= fewAnswers
 }
 
 // replicas returns the number of replicas of the new version for a stage.
--- a/rollout.go
+++ b/rollout.go
@@ -47,6 +47,8 @@
 	// Answers is the number of answers that the new version had given when the record was
 	// written.
 	Answers float64
+	// IsTrusted reports whether they spoke for the version.
+	IsTrusted bool
 	// Condemned lists the versions that proved bad, the latest one last, and Abandoned those
 	// whose rollouts ended before it was known whether they are good.
 	Condemned []string
