--- a/canary/exchange.go
+++ b/canary/exchange.go
@@ -323,10 +323,8 @@
 	// Rate is the number of answers of all versions a second.
 	Rate        float64
 	IsCondemned bool
-	// IsTrusted means that the answers speak for the new version, and IsDoubted that they
-	// speak against it.
-	IsTrusted bool
-	IsDoubted bool
+	// Doubts are what keeps the new version back.
+	Doubts Doubts
 	// Standing is the sum over the failure domains; IsComplete means that those asked for
 	// have all reported lately, about this grant.
 	Standing   Standing
@@ -353,8 +351,7 @@
 		OwnAnswers:  s.finding.Answers,
 		Rate:        found.rate(slotOf(c.config.TrueTime())),
 		IsCondemned: s.condemned[s.order.Version],
-		IsTrusted:   found.Doubts.isTrusted(),
-		IsDoubted:   found.Doubts.isDoubted(),
+		Doubts:      found.Doubts,
 		IsComplete:  true,
 	}
 	for _, domain := range expected {
--- a/canary/judge.go
+++ b/canary/judge.go
@@ -32,8 +32,8 @@
 	failureMargin = 2.0
 	slowMargin    = 3.0
 	// slowBuckets is how far beyond a quantile of the old versions' durations, in buckets, an
-	// answer counts as slow: twice as long.
-	slowBuckets = bucketsPerDouble
+	// answer counts as slow: 2.4 times as long.
+	slowBuckets = 5
 	// minSlow is the shortest time that counts as slow: no caller notices less.
 	minSlow = 20 * time.Millisecond
 	// minCompared is the least fraction of old answers to new ones from which those of the
--- a/canary/plan.go
+++ b/canary/plan.go
@@ -36,9 +36,11 @@
 	trialFraction   = 0.32
 	openingFraction = 0.6
 	openingTime     = 4 * time.Second
-	// untrustedFraction is the part of the permitted exposure that the trial may use after
-	// that while the new version is not trusted yet.
-	untrustedFraction = 0.38
+	// doubtedFraction is the part of the permitted exposure that the trial may use after that
+	// while the answers speak against the new version, and undecidedFraction while they speak
+	// for it but are too few to trust it.
+	doubtedFraction   = 0.36
+	undecidedFraction = 0.46
 	// maxTrialShare bounds the share where there are few requests, and minTrialShare keeps
 	// some answers coming once the exposure is used.
 	maxTrialShare = 0.2
@@ -102,7 +104,9 @@
 }
 
 // mustFall reports whether the answers speak against the share that the version has.
-func (s *situation) mustFall() bool { return s.status.LogRatio >= suspectLog || s.status.IsDoubted }
+func (s *situation) mustFall() bool {
+	return s.status.LogRatio >= suspectLog || s.status.Doubts.isDoubted()
+}
 
 // mayRise reports whether the answers allow a larger share. Without requests, nothing speaks
 // against it.
@@ -199,8 +203,10 @@
 	case elapsed < openingTime:
 		left = openingFraction*trialFraction*exposure - s.answers
 		span = openingTime - elapsed
+	case s.status.Doubts.isDoubted():
+		left = doubtedFraction*exposure - s.answers
 	default:
-		left = untrustedFraction*exposure - s.answers
+		left = undecidedFraction*exposure - s.answers
 	}
 	expected := s.rate * max(span, minSpan).Seconds()
 	if expected <= 0 {
