--- /dev/null
+++ b/canary/judge_test.go
@@ -0,0 +1,105 @@
+package canary_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniamast"
+	"zinniamast/canary"
+)
+
+// observe plays answers of both versions for a time: one in ten is the new version's, and of
+// each version's answers a fraction takes ten times as long. The sums are made as a reader
+// makes them.
+func (s *selector) observe(length time.Duration, oldSlow, newSlow float64) {
+	const perStep = 20
+	for i := 0; length > 0; i++ {
+		for k := range perStep {
+			at := i*perStep + k
+			sample := canary.Sample{
+				Service:       worldService,
+				Route:         "question",
+				Version:       oldVersion,
+				FailureDomain: fmt.Sprint("domain-", at%3),
+				First:         50 * time.Millisecond,
+			}
+			slow := oldSlow
+			if at%10 == 0 {
+				sample.Version, slow = newVersion, newSlow
+			}
+			if float64(at/10%10) < 10*slow {
+				sample.First *= 10
+			}
+			s.Observe(sample)
+		}
+		s.now = s.now.Add(100 * time.Millisecond)
+		length -= 100 * time.Millisecond
+		s.SumDomain()
+	}
+}
+
+func newJudge() *selector {
+	s := newSelector()
+	s.add(oldVersion, s.now.Add(-time.Hour), 0, 3)
+	s.add(newVersion, s.now, 0, 3)
+	s.SetOrder(zinniamast.RolloutOrder{
+		Service:  worldService,
+		Version:  newVersion,
+		Within:   time.Minute,
+		Revision: 1,
+	})
+	return s
+}
+
+// Guards against a slow version that is not told from the old ones because many of their answers are slow too.
+func TestSlowVersionIsToldAmongSlowAnswers(t *testing.T) {
+	for _, play := range []struct {
+		name             string
+		oldSlow, newSlow float64
+		isCondemned      bool
+	}{
+		{
+			name:        "as the old ones",
+			oldSlow:     0.3,
+			newSlow:     0.3,
+			isCondemned: false,
+		},
+		{
+			name:        "slow",
+			oldSlow:     0.3,
+			newSlow:     0.9,
+			isCondemned: true,
+		},
+	} {
+		t.Run(play.name, func(t *testing.T) {
+			s := newJudge()
+			s.observe(8*time.Second, play.oldSlow, play.newSlow)
+			is.New(t).Equal(s.Status(worldService, nil).IsCondemned, play.isCondemned)
+		})
+	}
+}
+
+// Guards against a new leader that knows only the newest answers, and so must learn again whether a version is good.
+func TestNewLeaderKnowsWhatOthersHaveFound(t *testing.T) {
+	check := is.New(t)
+	reader := newJudge()
+	reader.observe(20*time.Second, 0.1, 0.1)
+	found := reader.Status(worldService, nil)
+	check.True(found.Answers >= 350)
+	check.True(found.Doubts.Slow <= -2 && found.Doubts.Failures <= -2)
+
+	leader := newJudge()
+	leader.now = reader.now
+	leader.ReceiveDomains(reader.Domains(""))
+	known := leader.Status(worldService, nil)
+	check.True(known.Answers >= 0.9*found.Answers)
+	check.Equal(known.Doubts, found.Doubts)
+	check.True(known.OwnAnswers < found.Answers/2)
+
+	// What was found some time ago counts no more.
+	leader.now = leader.now.Add(5 * time.Second)
+	check.True(leader.Status(worldService, nil).Answers < found.Answers/2)
+}
--- a/forward/rollout_test.go
+++ b/forward/rollout_test.go
@@ -118,3 +118,31 @@
 	f.is.Equal(failed, 1)
 	f.is.Equal(timed, 1) // the good answer alone
 }
+
+// Guards against the pauses of a slow version that are counted only when its long streams have ended.
+func TestPausesAreCountedBeforeStreamsEnd(t *testing.T) {
+	const events, gap = 30, 20 * time.Millisecond
+	f := newFixture(t, 1)
+	f.replicas[0].SetBehaviour(replica.Behaviour{
+		Events: events,
+		Gap:    gap,
+	})
+	rollouts := &scriptedRollouts{
+		trial: []string{f.replicas[0].ID},
+	}
+	f.useRollouts(rollouts)
+	f.is.Equal(f.do(f.request(http.MethodPost, pathStream, "x")).status, http.StatusOK)
+	rollouts.mu.Lock()
+	defer rollouts.mu.Unlock()
+	var pauses []time.Duration
+	endsAfterPause := false
+	for _, sample := range rollouts.samples {
+		if sample.Pause > 0 {
+			pauses = append(pauses, sample.Pause)
+		}
+		endsAfterPause = endsAfterPause || len(pauses) > 0 && sample.Took > events*gap/2 && sample.Pause == 0
+	}
+	f.is.Equal(len(pauses), 1)
+	f.is.True(pauses[0] >= gap/2)
+	f.is.True(endsAfterPause)
+}
