--- a/canary/exchange.go
+++ b/canary/exchange.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"log/slog"
 	"time"
 )
 
@@ -333,6 +334,12 @@
 	Unheard []string
 }
 
+// evidence returns what is logged of the answers.
+func (s *Status) evidence() slog.Attr {
+	return slog.Group("", "log_ratio", s.LogRatio, "doubt_failures", s.Doubts.Failures, "doubt_slow", s.Doubts.Slow,
+		"answers", s.Answers, "all_answers", s.AllAnswers)
+}
+
 // Status returns what this node knows of the rollout of a service, where the reports of the
 // given failure domains are expected.
 func (c *Canary) Status(name string, expected []string) Status {
--- a/canary/leader.go
+++ b/canary/leader.go
@@ -287,7 +287,7 @@
 	status := l.config.Canary.Status(record.Service, nil)
 	revision, err := l.config.Rollouts.WriteRollout(ctx, record)
 	l.config.Logger.Info("rollout state written", "service", record.Service, "version", record.Version, "state", record.State, "order", record.Order,
-		"stage", state.stage, "log_ratio", status.LogRatio, "doubt_failures", status.Doubts.Failures, "doubt_slow", status.Doubts.Slow, "answers", status.Answers, "all_answers", status.AllAnswers, "cause", err)
+		"stage", state.stage, status.evidence(), "cause", err)
 	if err != nil {
 		if !errors.Is(err, zinniamast.ErrThrottled) && !errors.Is(err, zinniamast.ErrUnavailable) {
 			l.isRead = false
@@ -309,7 +309,7 @@
 		state.isLate = true
 		l.config.Logger.Warn("rollout is late", "service", record.Service, "version", record.Version, "stage", state.stage,
 			"running_on_old", s.status.Standing.Running, "settled", s.status.Standing.Settled, "nodes", s.status.Standing.Nodes, "unheard", s.status.Unheard,
-			"log_ratio", s.status.LogRatio, "doubt_failures", s.status.Doubts.Failures, "doubt_slow", s.status.Doubts.Slow, "answers", s.status.Answers, "new_replicas", s.newReady, "old_replicas", s.oldReady)
+			s.status.evidence(), "new_replicas", s.newReady, "old_replicas", s.oldReady)
 	}
 	if s.hasFailedTrial() {
 		record.State = zinniamast.RolloutRolledBack
@@ -331,13 +331,13 @@
 	}
 	if next != state.stage {
 		if record.IsTrusted != s.isTrusted {
-			// It also tells a leader that starts after the loss of all nodes.
+			// A leader that starts after the loss of all nodes goes on with it.
 			record.IsTrusted = s.isTrusted
 			l.write(ctx, state, record)
 			record = l.records[record.Service]
 		}
 		l.config.Logger.Info("rollout stage", "service", record.Service, "version", record.Version, "from", state.stage, "to", next,
-			"log_ratio", s.status.LogRatio, "doubt_failures", s.status.Doubts.Failures, "doubt_slow", s.status.Doubts.Slow, "answers", s.status.Answers, "all_answers", s.status.AllAnswers, "running_on_old", s.status.Standing.Running,
+			s.status.evidence(), "running_on_old", s.status.Standing.Running,
 			"new_replicas", s.newReady, "old_replicas", s.oldReady, "left", state.deadline.Sub(s.now).Round(time.Millisecond))
 		state.stage, state.since, state.stageAnswers = next, s.now, s.answers
 		s.stage, s.since = next, s.now
