--- a/canary/judge_test.go
+++ b/canary/judge_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/matryer/is"
 
-	"zinniamast"
 	"zinniamast/canary"
 )
 
@@ -41,19 +40,6 @@
 	}
 }
 
-func newJudge() *selector {
-	s := newSelector()
-	s.add(oldVersion, s.now.Add(-time.Hour), 0, 3)
-	s.add(newVersion, s.now, 0, 3)
-	s.SetOrder(zinniamast.RolloutOrder{
-		Service:  worldService,
-		Version:  newVersion,
-		Within:   time.Minute,
-		Revision: 1,
-	})
-	return s
-}
-
 // Guards against a slow version that is not told from the old ones because many of their answers are slow too.
 func TestSlowVersionIsToldAmongSlowAnswers(t *testing.T) {
 	for _, play := range []struct {
@@ -75,7 +61,7 @@
 		},
 	} {
 		t.Run(play.name, func(t *testing.T) {
-			s := newJudge()
+			s := newOrderedSelector()
 			s.observe(8*time.Second, play.oldSlow, play.newSlow)
 			is.New(t).Equal(s.Status(worldService, nil).IsCondemned, play.isCondemned)
 		})
@@ -85,13 +71,13 @@
 // Guards against a new leader that knows only the newest answers, and so must learn again whether a version is good.
 func TestNewLeaderKnowsWhatOthersHaveFound(t *testing.T) {
 	check := is.New(t)
-	reader := newJudge()
+	reader := newOrderedSelector()
 	reader.observe(20*time.Second, 0.1, 0.1)
 	found := reader.Status(worldService, nil)
 	check.True(found.Answers >= 350)
 	check.True(found.Doubts.Slow <= -2 && found.Doubts.Failures <= -2)
 
-	leader := newJudge()
+	leader := newOrderedSelector()
 	leader.now = reader.now
 	leader.ReceiveDomains(reader.Domains(""))
 	known := leader.Status(worldService, nil)
