Read and log that a replica is brittle

Callers lost their requests as brittle replicas fell over, and the log showed neither that a replica named how many rejections in a second it bears nor that it rejected requests. Each answer's head is now read for it: one line at the begin and the end of a replica's brittle time, one for each rejection in it with the count of the last second, a counter by how near the count comes to the bound, and one line a start of a replica for a value that is ignored. No decision changes.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -45,16 +45,16 @@
 	Take(ctx context.Context, organisation *routes.Organisation, amount float64, rank int) (wait time.Duration, ok bool)
 }
 
-// Throttle limits the requests to replicas that name a rate limit.
+// Throttle limits the requests to replicas that say that they bear only few.
 type Throttle interface {
 	// Limited returns the replicas of a service to which this node may not send a request
 	// now, and one that should get the next one; empty if there is none.
 	Limited(service string) (blocked []string, due string)
 	// Sent counts a request that is sent to a replica.
 	Sent(upstream *blackboard.Upstream)
-	// Answered records the limit that a replica named in its answer to a request that was
-	// sent at the given time; zero if it named none.
-	Answered(upstream *blackboard.Upstream, sent time.Time, rate float64)
+	// Answered records what a replica said of itself in its answer to a request that was sent
+	// at the given time.
+	Answered(upstream *blackboard.Upstream, sent time.Time, feedback zinniamast.Feedback)
 }
 
 // Meter counts requests that began to run, for the usage reports.
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -127,7 +127,11 @@
 		})
 		limited := f.replicas[0]
 		limited.setLimit(2)
-		f.nodes[0].throttle.Answered(f.nodes[0].board.Upstreams.Get(limited.id), time.Now(), 2)
+		f.nodes[0].throttle.Answered(f.nodes[0].board.Upstreams.Get(limited.id), time.Now(), zinniamast.Feedback{
+			Condition: zinniamast.Condition{
+				RateLimit: 2,
+			},
+		})
 		time.AfterFunc(limitNamed, func() { limited.setLimit(0) })
 		var done sync.WaitGroup
 		f.callers(&done, 60, limitNamed)
--- a/forward/protocol.go
+++ b/forward/protocol.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"zinniamast"
 	"zinniamast/prefix"
 )
 
@@ -75,7 +76,6 @@
 	NotRun bool
 	// WrongInstance reports whether another instance answered at the replica's address.
 	WrongInstance bool
-	// RateLimit is the number of requests per second that the replica takes from all
-	// nodes together; zero if it names no limit.
-	RateLimit float64
+	// Feedback is what the answer says of the replica itself.
+	Feedback zinniamast.Feedback
 }
--- a/forward/send.go
+++ b/forward/send.go
@@ -311,7 +311,7 @@
 		return upstreamError(s.upstream, zinniamast.FailureWrongAttempt, fmt.Errorf("forward: answer belongs to request %q", reply.ID))
 	}
 	if reply.Signed || reply.NotRun && !reply.WrongInstance {
-		h.config.Throttle.Answered(s.upstream, s.started, reply.RateLimit)
+		h.config.Throttle.Answered(s.upstream, s.started, reply.Feedback)
 	}
 	if reply.NotRun {
 		if reply.WrongInstance && h.config.Upstreams.MarkLeaving(s.upstream.Instance.ID, time.Time{}) {
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -51,11 +51,16 @@
 // a replica nothing until the owner reports that it names no limit any more. A node that
 // reads a limit in an answer follows it at once, even if no other node can be reached.
 type Throttle struct {
-	config Config
-	active prometheus.Gauge
+	config     Config
+	active     prometheus.Gauge
+	rejections *prometheus.CounterVec
 
 	mu     sync.Mutex
 	limits map[string]*limit
+	// services holds the services that have brittle replicas, and ignored the replicas of
+	// which a header was ignored.
+	services map[string]*brittleService
+	ignored  map[string]time.Time
 }
 
 // limit is the limit that a replica names.
@@ -96,7 +101,13 @@
 			Name: "zinniamast_replica_limits",
 			Help: "Replicas that name a rate limit.",
 		}),
-		limits: map[string]*limit{},
+		rejections: promauto.With(config.Registerer).NewCounterVec(prometheus.CounterOpts{
+			Name: "zinniamast_brittle_rejections_total",
+			Help: "Requests of this node that brittle replicas rejected, by how many they rejected in that second.",
+		}, []string{"in_second"}),
+		limits:   map[string]*limit{},
+		services: map[string]*brittleService{},
+		ignored:  map[string]time.Time{},
 	}
 	if config.Gossip != nil {
 		config.Gossip.Subscribe(zinniamast.TopicRateLimit, t.receive)
@@ -151,10 +162,17 @@
 	}
 }
 
-// Answered records the limit that a replica named in an answer to a request; zero if it
-// named none. An answer without a limit ends a limit only if the request was sent after
-// the limit was last named, as answers may overtake each other.
-func (t *Throttle) Answered(upstream *blackboard.Upstream, sent time.Time, rate float64) {
+// Answered records what a replica said of itself in its answer to a request that was sent
+// at the given time.
+func (t *Throttle) Answered(upstream *blackboard.Upstream, sent time.Time, feedback zinniamast.Feedback) {
+	t.recordLimit(upstream, sent, feedback.Condition.RateLimit)
+	t.recordBrittle(upstream, sent, feedback)
+}
+
+// recordLimit records the limit that a replica named; zero if it named none. An answer
+// without a limit ends a limit only if the request was sent after the limit was last named,
+// as answers may overtake each other.
+func (t *Throttle) recordLimit(upstream *blackboard.Upstream, sent time.Time, rate float64) {
 	instance := &upstream.Instance
 	t.mu.Lock()
 	l, known := t.limits[instance.ID]
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -84,6 +84,15 @@
 	}
 }
 
+// limited is the feedback of a replica that names a rate limit; zero names none.
+func limited(rate float64) zinniamast.Feedback {
+	return zinniamast.Feedback{
+		Condition: zinniamast.Condition{
+			RateLimit: rate,
+		},
+	}
+}
+
 // maySend reports whether a node may send a request to the replica now.
 func maySend(node *throttle.Throttle) bool {
 	blocked, _ := node.Limited(service)
@@ -98,7 +107,7 @@
 		for _, node := range nodes {
 			is.True(maySend(node))
 		}
-		nodes[1].Answered(upstream, time.Now(), 2)
+		nodes[1].Answered(upstream, time.Now(), limited(2))
 		is.True(!maySend(nodes[1])) // at once, without the others
 		time.Sleep(time.Second)
 		is.True(!maySend(nodes[2]))
@@ -121,11 +130,11 @@
 		nodes, _, upstream := newNodes(3)
 		before := time.Now()
 		time.Sleep(time.Second)
-		nodes[0].Answered(upstream, time.Now(), 2)
+		nodes[0].Answered(upstream, time.Now(), limited(2))
 		time.Sleep(time.Second)
-		nodes[0].Answered(upstream, before, 0)
+		nodes[0].Answered(upstream, before, limited(0))
 		is.True(!maySend(nodes[1]))
-		nodes[0].Answered(upstream, time.Now(), 0)
+		nodes[0].Answered(upstream, time.Now(), limited(0))
 		time.Sleep(time.Second)
 		for _, node := range nodes {
 			is.True(maySend(node))
@@ -142,7 +151,7 @@
 			_, id := nodes[node].Limited(service)
 			return id
 		}
-		nodes[0].Answered(upstream, time.Now(), 2)
+		nodes[0].Answered(upstream, time.Now(), limited(2))
 		time.Sleep(time.Second)
 		is.Equal(due(0), "")
 		time.Sleep(time.Second)
@@ -158,9 +167,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		nodes, hub, upstreams, upstream := newHubNodes(3)
-		nodes[1].Answered(upstream, time.Now(), 2)
+		nodes[1].Answered(upstream, time.Now(), limited(2))
 		time.Sleep(time.Second)
-		nodes[0].Answered(upstream, time.Now(), 0)
+		nodes[0].Answered(upstream, time.Now(), limited(0))
 		time.Sleep(time.Second)
 		published := hub.published
 		is.Equal(len(published), 2)
@@ -179,7 +188,7 @@
 			is.True(maySend(joined))
 		}
 
-		nodes[2].Answered(upstream, time.Now(), 3) // in need again
+		nodes[2].Answered(upstream, time.Now(), limited(3)) // in need again
 		time.Sleep(time.Second)
 		is.True(!maySend(nodes[1]))
 	})
@@ -190,7 +199,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		nodes, upstreams, upstream := newNodes(2)
-		nodes[0].Answered(upstream, time.Now(), 2)
+		nodes[0].Answered(upstream, time.Now(), limited(2))
 		time.Sleep(time.Second)
 		is.True(!maySend(nodes[1]))
 		upstreams.Remove(upstream.Instance.ID)
