Test that brittle replicas do not fail, which they do

Six nodes send 20 or 40 requests a second to nine replicas of eight slots, which are brittle from 10 to 30 s, take six requests from 13 s on, and fail when they have to reject more than N requests in a second.

--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -65,6 +65,10 @@
 	arrivals map[string][]time.Duration
 	// runs counts how often each request that must not be repeated reached a replica.
 	runs map[string]int
+	// brittle is how the replicas behave while they are brittle; nil while they are not. slots
+	// is the number of requests that each takes at once.
+	brittle *brittleness
+	slots   int
 	// refused counts the other requests that were held back, and served those with a
 	// whole answer.
 	refused, served, sent int
@@ -126,6 +130,7 @@
 			routes: &routes.Table{},
 		},
 		config:   config,
+		slots:    config.slots,
 		start:    time.Now(),
 		random:   rand.New(rand.NewPCG(config.seed, config.seed)),
 		crashes:  map[string][]time.Duration{},
@@ -241,8 +246,10 @@
 	isDown  bool
 	// limit is the rate that the replica names in its answers; zero names none.
 	limit float64
-	// received holds the times at which requests reached the replica.
+	// received holds the times at which requests reached the replica, and rejected those at
+	// which it had no slot for one.
 	received []time.Duration
+	rejected []time.Duration
 	// crashed is closed when the replica crashes.
 	crashed chan struct{}
 }
@@ -326,7 +333,8 @@
 	if culprit != "" {
 		f.arrivals[culprit] = append(f.arrivals[culprit], time.Since(f.start))
 	}
-	if r.running == f.config.slots {
+	if r.running >= f.slots {
+		r.rejected = append(r.rejected, time.Since(f.start))
 		return errFull
 	}
 	r.running++
@@ -346,6 +354,46 @@
 	return r.limit
 }
 
+// brittleFall is the culprit of replicas that failed as they had to reject too much.
+const brittleFall = "rejections"
+
+// setBrittleness sets how all replicas behave from now on.
+func (f *fleet) setBrittleness(b *brittleness, slots int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.brittle, f.slots = b, slots
+}
+
+// namedBrittleness returns the rejections that the replica says it bears; false if it says
+// nothing.
+func (r *fragile) namedBrittleness() (int, bool) {
+	f := r.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.brittle == nil || f.brittle.isSturdy {
+		return 0, false
+	}
+	return f.brittle.rejections, true
+}
+
+// failsUnderRejections reports whether the replica is brittle and has rejected more in the
+// last second than it bears.
+func (r *fragile) failsUnderRejections() bool {
+	f := r.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.brittle == nil || f.brittle.isSturdy {
+		return false
+	}
+	count := 0
+	for _, at := range r.rejected {
+		if time.Since(f.start)-at < time.Second {
+			count++
+		}
+	}
+	return count > f.brittle.rejections
+}
+
 var errFull = errors.New("no slot is free")
 
 // end releases a slot.
@@ -369,6 +417,17 @@
 	if limit := r.namedLimit(); limit > 0 {
 		header.Set("Server-Limit", fmt.Sprint(limit))
 	}
+	if rejections, ok := r.namedBrittleness(); ok {
+		header.Set("Server-Brittle", fmt.Sprint(rejections))
+	}
+	if err == errFull && r.failsUnderRejections() {
+		r.crash(brittleFall)
+		return nil, &zinniamast.UpstreamError{
+			Failure:  zinniamast.FailureReset,
+			Upstream: r.id,
+			Cause:    io.ErrUnexpectedEOF,
+		}
+	}
 	if err == errFull {
 		header.Set("Zinniamast-Not-Executed", "1")
 		return &http.Response{
