Send brittle replicas no more than each node's share of their places

The cause: nothing in the product read what the replicas say, and a node learns of room only by being rejected, so the sum of all nodes' rejections was bounded by nothing. The class of fault is that of the named limits: a bound on the sum of all nodes that no part counts.

A service is brittle for a node from the first such answer of any replica, so a restarted node and a replica that comes back are covered. Begin counts a send under the lock under which it is allowed; for named limits as well, whose tokens two requests at once could overdraw before.

--- a/condition.go
+++ b/condition.go
@@ -20,3 +20,14 @@
 	// Unreadable is a header whose value was ignored; empty if there is none.
 	Unreadable string
 }
+
+// Availability is which replicas of a service a node may send a request to now, as far as what
+// they say of themselves decides it.
+type Availability struct {
+	// Blocked are the replicas that may not get a request.
+	Blocked []string
+	// Spare are replicas that may get one only if no other replica can.
+	Spare []string
+	// Due is a replica that should get the next request; empty if there is none.
+	Due string
+}
--- a/entry/throttle.go
+++ b/entry/throttle.go
@@ -2,7 +2,7 @@
 
 import "zinniamast/throttle"
 
-// buildThrottle builds the throttle of replicas that name a rate limit.
+// buildThrottle builds the throttle of replicas that say that they bear only few requests.
 func (e *Entry) buildThrottle() {
 	owners := &throttle.Owners{
 		Node:          e.config.Settings.Instance,
@@ -13,6 +13,7 @@
 	e.throttle = throttle.New(throttle.Config{
 		Upstreams:  e.board.Upstreams,
 		IsOwner:    owners.IsOwner,
+		Share:      owners.Share,
 		Gossip:     e.members,
 		Logger:     e.config.Logger,
 		Registerer: e.registry,
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -47,11 +47,11 @@
 
 // Throttle limits the requests to replicas that say that they bear only few.
 type Throttle interface {
-	// Limited returns the replicas of a service to which this node may not send a request
-	// now, and one that should get the next one; empty if there is none.
-	Limited(service string) (blocked []string, due string)
-	// Sent counts a request that is sent to a replica.
-	Sent(upstream *blackboard.Upstream)
+	// Limited returns which replicas of a service may get a request now.
+	Limited(service string) zinniamast.Availability
+	// Begin begins an attempt at a replica, which the caller ends with EndAttempt. It returns
+	// false if the replica may not get the request after all.
+	Begin(upstream *blackboard.Upstream) bool
 	// Answered records what a replica said of itself in its answer to a request that was sent
 	// at the given time.
 	Answered(upstream *blackboard.Upstream, sent time.Time, feedback zinniamast.Feedback)
--- a/forward/run.go
+++ b/forward/run.go
@@ -59,12 +59,15 @@
 		}
 		if failure != nil {
 			h.recordRetry(ctx, a, c, failure)
+			failure = nil
 		}
 		if s == nil {
 			if c.sendsStarted == 0 {
 				h.metrics.timeToSend.Observe(time.Since(c.arrived).Seconds())
 			}
-			s = h.newSend(ctx, c, a, to)
+			if s = h.newSend(ctx, c, a, to); s == nil {
+				continue
+			}
 		}
 		if failure = h.attempt(t, s); failure == nil {
 			h.recordAnswer(a, c, s.upstream)
--- a/forward/send.go
+++ b/forward/send.go
@@ -92,18 +92,22 @@
 
 // chooseSelected asks the router for the next replica among the selected ones.
 func (h *Handler) chooseSelected(c *call, avoid []string) (routed, *zinniamast.Refusal) {
-	blocked, due := h.config.Throttle.Limited(c.service)
-	avoid = slices.Concat(avoid, blocked)
-	if to, ok := h.chooseDue(c, avoid, due); ok {
+	available := h.config.Throttle.Limited(c.service)
+	avoid = slices.Concat(avoid, available.Blocked)
+	withoutSpare := slices.Concat(avoid, available.Spare)
+	if to, ok := h.chooseDue(c, withoutSpare, available.Due); ok {
 		return to, nil
 	}
-	choice, err := h.config.Router.Route(h.routeRequest(c, avoid))
+	choice, err := h.config.Router.Route(h.routeRequest(c, withoutSpare))
+	if err != nil && len(available.Spare) > 0 {
+		choice, err = h.config.Router.Route(h.routeRequest(c, avoid))
+	}
 	if err != nil {
 		if refusal := h.versionRefusal(c); refusal != nil {
 			return routed{}, refusal
 		}
 	}
-	if err != nil && len(blocked) > 0 {
+	if err != nil && len(available.Blocked) > 0 {
 		return routed{}, zinniamast.Refuse(zinniamast.ReasonNoCapacity, "the replicas limit their requests").WithRetryAfter(fullRetryAfter)
 	}
 	if err != nil {
@@ -160,9 +164,13 @@
 	}
 }
 
-// newSend starts the accounts of a send to the replica that the router chose.
+// newSend starts the accounts of a send to the replica that the router chose. It returns nil if
+// the replica may not get the request, as others were sent since it was chosen.
 func (h *Handler) newSend(ctx context.Context, c *call, a *answer, to routed) *send {
 	upstream, choice := to.upstream, to.choice
+	if !h.config.Throttle.Begin(upstream) {
+		return nil
+	}
 	s := &send{
 		upstream:     upstream,
 		attempt:      c.metadata.ID,
@@ -186,11 +194,9 @@
 	h.config.Demand.AddWork(c.service, choice.Work)
 	h.config.Logger.Info("sending request to replica", "request", c.metadata.ID, "service", c.service, "organisation", c.organisationName(),
 		"config", c.configVersion, "fingerprint", quarantine.Fingerprint(c.fingerprint), "suspect", c.isSuspect, "priority", c.priority, "prompt_tokens", c.metadata.PromptTokens, "prompt_parts", c.loggedParts(), "replica", choice.Upstream,
-		"failure_domain", upstream.Instance.FailureDomain, "version", upstream.Instance.Version, "resumes", c.metadata.Resumes, "after", s.lastEvent(c), "running_here", upstream.Inflight(),
+		"failure_domain", upstream.Instance.FailureDomain, "version", upstream.Instance.Version, "resumes", c.metadata.Resumes, "after", s.lastEvent(c), "running_here", upstream.Inflight()-1,
 		"predicted_first", choice.FirstToken.Round(time.Millisecond), "cached", choice.CachedTokens, "fetch_from", choice.FetchFrom,
 		"left", time.Until(c.deadline).Round(time.Millisecond))
-	upstream.BeginAttempt()
-	h.config.Throttle.Sent(upstream)
 	h.config.Quarantine.AttemptStarted(upstream.Instance.ID, c.fingerprint)
 	s.run = h.config.Parts.Started(upstream.Instance.ID, c.parts, func() { s.cancel(errHeldBack) })
 	h.observe(c, s, zinniamast.ObservedStart, 0, "", 0)
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -142,11 +142,14 @@
 // replica begins to answer or fails.
 func (t *takeover) start(to routed) {
 	h, c := t.handler, t.call
+	s := h.newSend(t.ctx, c, t.answer, to)
+	if s == nil {
+		return
+	}
 	if !t.current.silent {
 		t.current.silent = true
 		h.observe(c, t.current, zinniamast.ObservedSilent, time.Since(t.current.started), zinniamast.FailureTimeout, 0)
 	}
-	s := h.newSend(t.ctx, c, t.answer, to)
 	s.ready = make(chan struct{})
 	t.pending = append(t.pending, s)
 	h.config.Logger.Warn("replica is silent, request sent to another", "request", c.metadata.ID, "service", c.service,
--- a/throttle/brittle.go
+++ b/throttle/brittle.go
@@ -11,25 +11,198 @@
 // so. Replicas that are used say so with each answer.
 const brittleLifetime = 10 * time.Second
 
+// A node holds a fixed part of the places of each brittle replica and sends no more requests
+// than it has places: it needs no message to know that there is room, and is rejected only if
+// all nodes together hold more places than the replica has. A replica may have less room than
+// it lists, by how much is known only from its rejections. So the nodes begin with a part of
+// the places, and a node that needs more tries its others one by one: each place has a turn of
+// its own, so that no two nodes try one at the same moment.
+const (
+	// initialPlaces is the part of a replica's slots that the nodes use without a trial.
+	initialPlaces = 0.5
+	// defaultSlots is assumed of a replica that does not list its slots.
+	defaultSlots = 4
+	// trialsAfter is the time from which places are tried. A replica may have less room from
+	// some seconds after it first says that it is brittle.
+	trialsAfter = 3500 * time.Millisecond
+	// triedShare is the part of the rejections that a replica bears that trials may cause.
+	triedShare = 0.5
+	// keepTried is how long a place that was tried is kept without being used.
+	keepTried = 6 * time.Second
+	// shareInterval is how often a node looks at which nodes there are.
+	shareInterval = time.Second
+)
+
 // brittleService is a service some of whose replicas are brittle.
 type brittleService struct {
 	// since is when this node first read that a replica is brittle, and heardAt when it last
 	// did.
-	since    time.Time
-	heardAt  time.Time
-	replicas map[string]*brittleReplica
+	since   time.Time
+	heardAt time.Time
+	// maxRejections is the lowest number that one of them named.
+	maxRejections int
+	replicas      map[string]*brittleReplica
 }
 
 // brittleReplica is what this node knows of one start of a replica of such a service.
 type brittleReplica struct {
-	started   time.Time
+	started time.Time
+	// isBrittle reports whether the replica last said that it is brittle, and isSound that it
+	// answered and did not say so.
 	isBrittle bool
+	isSound   bool
 	// maxRejections is the number of rejections in a second that the replica bears, and
 	// namedAt when it last named it.
 	maxRejections int
 	namedAt       time.Time
 	// rejectedAt holds the times of its rejections of this node's requests in the last second.
 	rejectedAt []time.Time
+
+	slots int
+	// share is this node's share of the places, as of sharedAt.
+	share    Share
+	sharedAt time.Time
+	// allowed is the number of requests that this node may have at the replica. usedAt is when
+	// it last had as many, and triedTurn the number of the turn in which it last tried one more.
+	allowed   int
+	usedAt    time.Time
+	triedTurn int
+}
+
+// limitBrittle adds the brittle replicas of a service that may not get a request now. The caller
+// holds the lock.
+func (t *Throttle) limitBrittle(service string, now time.Time, available *zinniamast.Availability) {
+	s := t.brittleService(service, now)
+	if s == nil {
+		return
+	}
+	for _, u := range t.config.Upstreams.Of(service) {
+		r := t.brittleReplica(s, u, now)
+		switch {
+		case r == nil || int(u.Inflight()) < r.allowed:
+		case s.mayTry(r, now):
+			available.Spare = append(available.Spare, u.Instance.ID)
+		default:
+			available.Blocked = append(available.Blocked, u.Instance.ID)
+		}
+	}
+}
+
+// beginBrittle takes a place for a request to a replica, or tries one, and returns false if
+// there is none. The caller holds the lock.
+func (t *Throttle) beginBrittle(u *blackboard.Upstream, now time.Time) bool {
+	s := t.brittleService(u.Instance.Service, now)
+	if s == nil {
+		return true
+	}
+	r := t.brittleReplica(s, u, now)
+	if r == nil {
+		return true
+	}
+	running := int(u.Inflight())
+	if running >= r.allowed {
+		if !s.mayTry(r, now) {
+			return false
+		}
+		r.triedTurn = s.turn(r, now)
+	}
+	if running+1 >= r.allowed {
+		r.usedAt = now
+	}
+	return true
+}
+
+// brittleService returns the state of a service that has brittle replicas, or nil. The caller
+// holds the lock.
+func (t *Throttle) brittleService(service string, now time.Time) *brittleService {
+	s := t.services[service]
+	if s != nil && now.Sub(s.heardAt) > brittleLifetime {
+		delete(t.services, service)
+		return nil
+	}
+	return s
+}
+
+// brittleReplica returns the state of a replica of such a service, or nil if the replica is
+// sound. A replica that has not answered since counts as brittle if most of the others are: one
+// that comes back after it failed says nothing before its first answer. The caller holds the
+// lock.
+func (t *Throttle) brittleReplica(s *brittleService, u *blackboard.Upstream, now time.Time) *brittleReplica {
+	r := s.replica(&u.Instance)
+	if !r.isBrittle && (r.isSound || !s.isMostlyBrittle()) {
+		return nil
+	}
+	if r.slots == 0 {
+		r.slots = max(1, u.Slots)
+		if u.Slots == 0 {
+			r.slots = defaultSlots
+		}
+		r.maxRejections = s.maxRejections
+	}
+	isNew := r.sharedAt.IsZero()
+	if now.Sub(r.sharedAt) >= shareInterval {
+		r.share, r.sharedAt = t.config.Share(u.Instance.ID), now
+	}
+	base := r.base()
+	running := int(u.Inflight())
+	if isNew || r.allowed > base && running < r.allowed && now.Sub(r.usedAt) > keepTried {
+		r.allowed = base
+	}
+	r.allowed = min(r.allowed, r.share.Of(r.slots))
+	return r
+}
+
+// base returns the number of places that this node uses without a trial.
+func (r *brittleReplica) base() int {
+	return r.share.Of(max(1, int(initialPlaces*float64(r.slots))))
+}
+
+// isMostlyBrittle reports whether more of the replicas that have answered are brittle than not.
+func (s *brittleService) isMostlyBrittle() bool {
+	surplus := 0
+	for _, r := range s.replicas {
+		if r.isBrittle {
+			surplus++
+		} else if r.isSound {
+			surplus--
+		}
+	}
+	return surplus > 0
+}
+
+// turnLength returns the time in which one place of the replica may be tried.
+func (r *brittleReplica) turnLength() time.Duration {
+	return time.Duration(float64(time.Second) / (triedShare * float64(r.maxRejections)))
+}
+
+// turn returns the number of the present turn.
+func (s *brittleService) turn(r *brittleReplica, now time.Time) int {
+	return int(now.Sub(s.since) / r.turnLength())
+}
+
+// mayTry reports whether this node may use one place more than is allowed. Only the first half of
+// a turn counts, as the nodes' turns do not begin at quite the same time.
+func (s *brittleService) mayTry(r *brittleReplica, now time.Time) bool {
+	if r.maxRejections == 0 || now.Sub(s.since) < trialsAfter || r.allowed >= r.share.Of(r.slots) {
+		return false
+	}
+	length := r.turnLength()
+	turn := s.turn(r, now)
+	return turn != r.triedTurn && now.Sub(s.since)%length < length/2 && r.share.Holds(turn%r.slots)
+}
+
+// recordTaken records that the replica took a request that was sent at the given time.
+func (r *brittleReplica) recordTaken(s *brittleService, running int, sent time.Time) {
+	if r.slots > 0 && sent.After(s.since) && running > r.allowed {
+		r.allowed = min(running, r.share.Of(r.slots))
+	}
+}
+
+// recordFull records that the replica had no room for one of this node's running requests.
+func (r *brittleReplica) recordFull(running int) {
+	if r.slots > 0 {
+		r.allowed = max(0, min(r.allowed, running-1))
+	}
 }
 
 // recordBrittle records whether a replica said that it is brittle, and whether it rejected a
@@ -41,18 +214,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.logIgnored(instance, feedback.Unreadable)
-	s := t.services[instance.Service]
-	if s != nil && now.Sub(s.heardAt) > brittleLifetime {
-		delete(t.services, instance.Service)
-		s = nil
-	}
+	s := t.brittleService(instance.Service, now)
 	if s == nil && !feedback.Condition.IsBrittle {
 		return
 	}
 	if s == nil {
 		s = &brittleService{
-			since:    now,
-			replicas: map[string]*brittleReplica{},
+			since:         now,
+			maxRejections: feedback.Condition.MaxRejections,
+			replicas:      map[string]*brittleReplica{},
 		}
 		t.services[instance.Service] = s
 	}
@@ -61,18 +231,22 @@
 		s.heardAt = now
 		r.namedAt = now
 		r.maxRejections = feedback.Condition.MaxRejections
+		s.maxRejections = min(s.maxRejections, r.maxRejections)
 		if !r.isBrittle {
 			t.config.Logger.Info("replica is brittle", "replica", instance.ID, "service", instance.Service, "max_rejections", r.maxRejections)
 		}
-		r.isBrittle = true
-	} else if sent.After(r.namedAt) {
+		r.isBrittle, r.isSound = true, false
+	} else if sent.After(r.namedAt) && sent.After(s.since) {
 		if r.isBrittle {
 			t.config.Logger.Info("replica is brittle no more", "replica", instance.ID, "service", instance.Service)
 		}
-		r.isBrittle = false
+		r.isBrittle, r.isSound = false, true
 	}
 	if feedback.Rejected && r.isBrittle {
 		t.recordRejection(upstream, r, now)
+		r.recordFull(int(upstream.Inflight()))
+	} else if !feedback.Rejected {
+		r.recordTaken(s, int(upstream.Inflight()), sent)
 	}
 }
 
--- /dev/null
+++ b/throttle/brittle_test.go
@@ -0,0 +1,186 @@
+package throttle_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniamast"
+	"zinniamast/blackboard"
+	"zinniamast/throttle"
+)
+
+// brittle is the feedback of a replica that bears a number of rejections in a second.
+func brittle(rejections int) zinniamast.Feedback {
+	return zinniamast.Feedback{
+		Condition: zinniamast.Condition{
+			IsBrittle:     true,
+			MaxRejections: rejections,
+		},
+	}
+}
+
+// newService returns a node that holds the given share of each replica's places, and the
+// service's replicas, which have eight slots each.
+func newService(share throttle.Share, replicas int) (*throttle.Throttle, *blackboard.Upstreams, []*blackboard.Upstream) {
+	upstreams := blackboard.NewUpstreams()
+	var all []*blackboard.Upstream
+	for i := range replicas {
+		all = append(all, addReplica(upstreams, fmt.Sprint("i-", i)))
+	}
+	return throttle.New(throttle.Config{
+		Upstreams: upstreams,
+		Share:     func(string) throttle.Share { return share },
+	}), upstreams, all
+}
+
+func addReplica(upstreams *blackboard.Upstreams, id string) *blackboard.Upstream {
+	u := &blackboard.Upstream{
+		Instance: zinniamast.Instance{
+			ID:      id,
+			Service: service,
+			Started: time.Now(),
+		},
+		Slots: 8,
+	}
+	upstreams.Add(u)
+	return u
+}
+
+// begun returns how many requests may begin at a replica at once.
+func begun(node *throttle.Throttle, u *blackboard.Upstream) int {
+	count := 0
+	for count < 100 && node.Begin(u) {
+		count++
+	}
+	for range count {
+		u.EndAttempt()
+	}
+	return count
+}
+
+// Guards against nodes that together hold more places than a brittle replica has, or fewer.
+func TestSharesOfAllNodesAreTheReplicasPlaces(t *testing.T) {
+	is := is.New(t)
+	const nodes, replicas, places = 7, 50, 10
+	var instances []zinniamast.Instance
+	for i := range nodes {
+		instances = append(instances, zinniamast.Instance{
+			ID: fmt.Sprint("node-", i),
+		})
+	}
+	for r := range replicas {
+		sum, holders := 0, map[int]int{}
+		for _, instance := range instances {
+			o := throttle.Owners{
+				Node:      instance.ID,
+				Members:   blackboard.NewMembers(),
+				Instances: func() []zinniamast.Instance { return instances },
+			}
+			share := o.Share(fmt.Sprint("i-", r))
+			sum += share.Of(places)
+			for place := range places {
+				if share.Holds(place) {
+					holders[place]++
+				}
+			}
+		}
+		is.Equal(sum, places)
+		for place := range places {
+			is.Equal(holders[place], 1)
+		}
+	}
+}
+
+// Guards against a node that keeps places for itself of which a dead node holds some.
+func TestSharesOfDeadNodesPassOn(t *testing.T) {
+	synctest.Test(t, testSharesOfDeadNodesPassOn)
+}
+
+func testSharesOfDeadNodesPassOn(t *testing.T) {
+	is := is.New(t)
+	members := blackboard.NewMembers()
+	o := throttle.Owners{
+		Node:    "node-1",
+		Members: members,
+		Instances: func() []zinniamast.Instance {
+			return []zinniamast.Instance{
+				{
+					ID: "node-1",
+				},
+				{
+					ID: "node-2",
+				},
+			}
+		},
+	}
+	is.Equal(o.Share("i-1").Nodes, 2)
+	members.Update("node-2", func(m *blackboard.Member) bool {
+		m.Dead = true
+		return true
+	})
+	time.Sleep(time.Second)
+	is.Equal(o.Share("i-1").Nodes, 1)
+}
+
+// Guards against requests to a brittle replica beyond this node's places, and against restraint that outlasts its need.
+func TestBrittleReplicaGetsItsPlacesUntilItIsSound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		node, _, replicas := newService(throttle.Share{
+			Nodes: 2,
+		}, 1)
+		u := replicas[0]
+		is.Equal(begun(node, u), 100)
+		node.Answered(u, time.Now(), brittle(3))
+		is.Equal(begun(node, u), 2) // half of the slots, and half of these
+		before := time.Now()
+		time.Sleep(time.Second)
+		node.Answered(u, time.Now(), brittle(3))
+		node.Answered(u, before, zinniamast.Feedback{}) // overtaken by the answer above
+		is.Equal(begun(node, u), 2)
+		time.Sleep(time.Millisecond)
+		node.Answered(u, time.Now(), zinniamast.Feedback{})
+		is.Equal(begun(node, u), 100)
+	})
+}
+
+// Guards against a flood of a replica that came back after it failed and has not answered yet.
+func TestReplicaThatComesBackCountsAsBrittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		node, upstreams, replicas := newService(throttle.Share{
+			Nodes: 2,
+		}, 3)
+		for _, u := range replicas {
+			node.Answered(u, time.Now(), brittle(3))
+		}
+		upstreams.Remove(replicas[0].Instance.ID)
+		time.Sleep(time.Second)
+		back := addReplica(upstreams, "i-0")
+		is.Equal(begun(node, back), 2)
+		node.Answered(back, time.Now(), zinniamast.Feedback{})
+		is.Equal(begun(node, back), 100)
+	})
+}
+
+// Guards against one brittle replica that costs a service the use of its sound ones.
+func TestOneBrittleReplicaLeavesOthersUnlimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		node, _, replicas := newService(throttle.Share{
+			Rank:  9,
+			Nodes: 10,
+		}, 4)
+		node.Answered(replicas[0], time.Now(), brittle(3))
+		time.Sleep(time.Millisecond)
+		node.Answered(replicas[1], time.Now(), zinniamast.Feedback{})
+		is.Equal(begun(node, replicas[0]), 0)
+		for _, u := range replicas[1:] {
+			is.Equal(begun(node, u), 100)
+		}
+	})
+}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -1,5 +1,5 @@
-// Package throttle keeps the requests that all nodes together send to a replica within
-// the rate limit that the replica names in its answers.
+// Package throttle keeps the requests that all nodes together send to a replica within what
+// the replica says in its answers that it bears: a rate limit, or few rejections.
 package throttle
 
 import (
@@ -21,6 +21,9 @@
 	// a failure domain while the replica names a limit, see Owners. If nil, this node is
 	// the owner of every replica.
 	IsOwner func(replica, failureDomain string) bool
+	// Share returns this node's share of the places of a replica, see Owners. If nil, this
+	// node has all of them.
+	Share func(replica string) Share
 	// Gossip exchanges the limits with the other nodes. If nil, this is the only node.
 	Gossip zinniamast.Gossip
 	// Logger logs each limit that starts, changes or ends. If nil, nothing is logged.
@@ -76,8 +79,7 @@
 	// publishedAt when it last told the others.
 	namedAt     time.Time
 	publishedAt time.Time
-	// tokens is the number of requests that the owner may send now. It is negative if
-	// requests were sent concurrently.
+	// tokens is the number of requests that the owner may send now.
 	tokens   float64
 	filledAt time.Time
 	// sentAt is when this node last sent the replica a request.
@@ -89,6 +91,13 @@
 	if config.IsOwner == nil {
 		config.IsOwner = func(string, string) bool { return true }
 	}
+	if config.Share == nil {
+		config.Share = func(string) Share {
+			return Share{
+				Nodes: 1,
+			}
+		}
+	}
 	if config.Logger == nil {
 		config.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -115,16 +124,14 @@
 	return t
 }
 
-// Limited returns the replicas of a service to which this node may not send a request now,
-// and one that is due for a request because this node is its owner and has sent it none for
-// probeInterval; empty if there is none.
-func (t *Throttle) Limited(service string) (blocked []string, due string) {
+// Limited returns which replicas of a service may get a request now. One is due if this node is
+// its owner and has sent it none for probeInterval.
+func (t *Throttle) Limited(service string) zinniamast.Availability {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.limits) == 0 {
-		return nil, ""
-	}
+	var available zinniamast.Availability
 	now := t.config.Now()
+	t.limitBrittle(service, now, &available)
 	for id, l := range t.limits {
 		u := t.config.Upstreams.Get(id)
 		if now.Sub(l.namedAt) > limitLifetime {
@@ -132,18 +139,29 @@
 			t.countActive()
 			continue
 		}
-		if l.rate == 0 || u == nil || u.Instance.Service != service || !u.Instance.Started.Equal(l.started) {
+		if u == nil || u.Instance.Service != service || !l.isNamedBy(u) {
 			continue
 		}
-		l.refill(now)
 		switch {
-		case l.tokens < 1 || !t.config.IsOwner(id, u.Instance.FailureDomain):
-			blocked = append(blocked, id)
+		case !t.mayBeginLimited(l, u, now):
+			available.Blocked = append(available.Blocked, id)
 		case now.Sub(l.sentAt) >= probeInterval:
-			due = id
+			available.Due = id
 		}
 	}
-	return blocked, due
+	return available
+}
+
+// isNamedBy reports whether the present start of a replica names the limit.
+func (l *limit) isNamedBy(u *blackboard.Upstream) bool {
+	return l.rate > 0 && u.Instance.Started.Equal(l.started)
+}
+
+// mayBeginLimited reports whether a replica may get a request within its limit. The caller
+// holds the lock.
+func (t *Throttle) mayBeginLimited(l *limit, u *blackboard.Upstream, now time.Time) bool {
+	l.refill(now)
+	return l.tokens >= 1 && t.config.IsOwner(u.Instance.ID, u.Instance.FailureDomain)
 }
 
 // refill adds the tokens of the time since the last call.
@@ -152,14 +170,25 @@
 	l.filledAt = now
 }
 
-// Sent counts a request that this node sends to a replica.
-func (t *Throttle) Sent(upstream *blackboard.Upstream) {
+// Begin begins an attempt at a replica, which the caller ends with EndAttempt. It returns false
+// if the replica may not get the request, as other requests began since Limited was asked.
+func (t *Throttle) Begin(upstream *blackboard.Upstream) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l, ok := t.limits[upstream.Instance.ID]; ok {
+	now := t.config.Now()
+	l, ok := t.limits[upstream.Instance.ID]
+	if ok && l.isNamedBy(upstream) && !t.mayBeginLimited(l, upstream, now) {
+		return false
+	}
+	if !t.beginBrittle(upstream, now) {
+		return false
+	}
+	if ok {
 		l.tokens--
-		l.sentAt = t.config.Now()
+		l.sentAt = now
 	}
+	upstream.BeginAttempt()
+	return true
 }
 
 // Answered records what a replica said of itself in its answer to a request that was sent
