Read and log that a replica asks an instance for rest

Callers' requests reached replicas that had asked for rest, and the log showed neither that they had nor for how long. Retry-After of a 503 is now read, with one line and a count for each answer that has it. No decision changes.

--- a/condition.go
+++ b/condition.go
@@ -1,5 +1,7 @@
 package zinniamast
 
+import "time"
+
 // Condition is what a replica says of itself in all its answers while it holds.
 type Condition struct {
 	// RateLimit is the number of requests per second that the replica takes from all nodes
@@ -17,6 +19,9 @@
 	Condition Condition
 	// Rejected reports whether the replica had no room for the request.
 	Rejected bool
+	// RestFor is how long the replica wants no request from this node; zero if it does not
+	// say so.
+	RestFor time.Duration
 	// Unreadable is a header whose value was ignored; empty if there is none.
 	Unreadable string
 }
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -57,6 +57,7 @@
 	config     Config
 	active     prometheus.Gauge
 	rejections *prometheus.CounterVec
+	rested     prometheus.Counter
 
 	mu     sync.Mutex
 	limits map[string]*limit
@@ -114,6 +115,10 @@
 			Name: "zinniamast_brittle_rejections_total",
 			Help: "Requests of this node that brittle replicas rejected, by how many they rejected in that second.",
 		}, []string{"in_second"}),
+		rested: promauto.With(config.Registerer).NewCounter(prometheus.CounterOpts{
+			Name: "zinniamast_replica_rests_total",
+			Help: "Answers by which a replica asked this node for rest.",
+		}),
 		limits:   map[string]*limit{},
 		services: map[string]*brittleService{},
 		ignored:  map[string]time.Time{},
@@ -196,6 +201,7 @@
 func (t *Throttle) Answered(upstream *blackboard.Upstream, sent time.Time, feedback zinniamast.Feedback) {
 	t.recordLimit(upstream, sent, feedback.Condition.RateLimit)
 	t.recordBrittle(upstream, sent, feedback)
+	t.recordRest(upstream, feedback.RestFor)
 }
 
 // recordLimit records the limit that a replica named; zero if it named none. An answer
