Test that a replica that asks for rest gets it, which it does not

Six nodes send 40 requests a second to nine replicas. Full replicas ask for 2 s of rest, or a third of them shed everything for 20 s and ask for 3 s, with and without one node whose paths are down and whose requests are relayed. The tests want none broken, and no less served than by replicas that ask for none.

--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -70,6 +70,10 @@
 	// is the number of requests that each takes at once.
 	brittle *brittleness
 	slots   int
+	// rest is how replicas ask nodes for rest; nil while they do not. rests holds what they
+	// asked for.
+	rest  *resting
+	rests []*restAsked
 	// refused counts the other requests that were held back, and served those with a
 	// whole answer.
 	refused, served, sent int
@@ -102,12 +106,13 @@
 	throttling  throttle.Config
 	subscribers map[zinniamast.Topic][]func(zinniamast.GossipItem)
 
+	name   string
+	domain string
 	// The fields below are set if the nodes have paths.
-	name, domain string
-	paths        *paths
-	egress       *egress.Egress
-	relays       *pipeListener
-	server       *http.Server
+	paths  *paths
+	egress *egress.Egress
+	relays *pipeListener
+	server *http.Server
 }
 
 // currentThrottle is the present throttle of a node. It implements forward.Throttle.
@@ -203,6 +208,8 @@
 	name := fmt.Sprint("node-", i)
 	logger := slog.New(slog.NewTextHandler(&f.log, nil)).With("node", name)
 	n := &fleetNode{
+		name:        name,
+		domain:      domain,
 		fleet:       f,
 		board:       blackboard.New(),
 		subscribers: map[zinniamast.Topic][]func(zinniamast.GossipItem){},
@@ -396,6 +403,9 @@
 	if culprit != "" {
 		f.arrivals[culprit] = append(f.arrivals[culprit], time.Since(f.start))
 	}
+	if f.rest != nil && slices.Contains(f.rest.shedding, r.id) {
+		return errShed
+	}
 	if r.running >= f.slots {
 		r.rejected = append(r.rejected, time.Since(f.start))
 		return errFull
@@ -476,6 +486,7 @@
 	header := http.Header{}
 	header.Set("Zinniamast-Request-Id", request.Header.Get("Zinniamast-Request-Id"))
 	culprit := r.fleet.culprit(content, request.Header.Get("Zinniamast-Prompt-Prefix"))
+	r.countInRests(ctx)
 	err = r.begin(culprit)
 	if limit := r.namedLimit(); limit > 0 {
 		header.Set("Server-Limit", fmt.Sprint(limit))
@@ -491,8 +502,11 @@
 			Cause:    io.ErrUnexpectedEOF,
 		}
 	}
-	if err == errFull {
+	if err == errFull || err == errShed {
 		header.Set("Zinniamast-Not-Executed", "1")
+		if rest := r.askForRest(ctx, err); rest > 0 {
+			header.Set("Retry-After", fmt.Sprint(rest.Seconds()))
+		}
 		return &http.Response{
 			StatusCode: http.StatusServiceUnavailable,
 			Header:     header,
--- a/forward/partition_test.go
+++ b/forward/partition_test.go
@@ -44,6 +44,7 @@
 // paths are a node's connections to all replicas.
 type paths struct {
 	fleet *fleet
+	node  string
 
 	mu   sync.Mutex
 	kind cutKind
@@ -172,7 +173,7 @@
 		return nil, r.failure(zinniamast.FailureReset, err)
 	}
 	r.paths.fleet.countRun(request)
-	response, err := r.replica.Send(ctx, request)
+	response, err := r.replica.Send(withSender(ctx, r.paths.node), request)
 	if err != nil {
 		return nil, err
 	}
@@ -256,9 +257,9 @@
 // addEgress gives a node paths to the replicas and a receiver for other nodes' requests.
 func (n *fleetNode) addEgress(name, domain string, logger *slog.Logger) {
 	f := n.fleet
-	n.name, n.domain = name, domain
 	n.paths = &paths{
 		fleet:   f,
+		node:    name,
 		changed: make(chan struct{}),
 		idle:    map[string]int{},
 	}
@@ -309,7 +310,10 @@
 // newClient returns the node's client of a replica.
 func (n *fleetNode) newClient(r *fragile) zinniamast.Replica {
 	if n.egress == nil {
-		return r
+		return &sentBy{
+			fragile: r,
+			node:    n.name,
+		}
 	}
 	return n.egress.Replica(r.id, &pathTo{
 		paths:   n.paths,
