Keep the rest that a replica asks an instance for

The cause: nothing read Retry-After of a replica's 503. The class: something a replica says that no part reads, as with the named limits.

Throttle now keeps, per start of a replica, until when it wants nothing from this node, and all sends pass Limited and Begin: first ones, repeats, takeovers of silent replicas, resumed streams. Requests that are relayed for another instance count as this one's, so the receiver asks as well. Other nodes are not told. If all replicas rest, callers get the first end of a rest as Retry-After. A begun stream whose replicas all rest for a moment waits as it does for full ones.

--- a/condition.go
+++ b/condition.go
@@ -33,6 +33,9 @@
 	Blocked []string
 	// Spare are replicas that may get one only if no other replica can.
 	Spare []string
+	// RetryAfter is the time until a replica may get a request again, if all of them want none
+	// from this node; zero if that is not so.
+	RetryAfter time.Duration
 	// Due is a replica that should get the next request; empty if there is none.
 	Due string
 }
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -30,6 +30,10 @@
 	// Closing reports whether this instance is stopping and relays no new requests; nil
 	// means never.
 	Closing func() bool
+	// MayRelay reports whether a peer's request may be sent to a replica now; nil means always.
+	MayRelay func(upstream *blackboard.Upstream) bool
+	// OnRelayed receives the head of each replica's answer to a peer's request; nil is allowed.
+	OnRelayed func(upstream *blackboard.Upstream, response *http.Response)
 	// RequestID returns the ID of a request, for the log; nil means that none has one.
 	RequestID func(header http.Header) string
 	// Logger logs paths that go down and requests that are relayed; nil means slog's
@@ -66,6 +70,12 @@
 	if config.Closing == nil {
 		config.Closing = func() bool { return false }
 	}
+	if config.MayRelay == nil {
+		config.MayRelay = func(*blackboard.Upstream) bool { return true }
+	}
+	if config.OnRelayed == nil {
+		config.OnRelayed = func(*blackboard.Upstream, *http.Response) {}
+	}
 	if config.RequestID == nil {
 		config.RequestID = func(http.Header) string { return "" }
 	}
--- a/egress/receiver.go
+++ b/egress/receiver.go
@@ -49,6 +49,10 @@
 		writeOutcome(w, outcomeUnfit, "the link to the service is down here as well")
 		return
 	}
+	if !e.config.MayRelay(upstream) {
+		writeOutcome(w, outcomeUnreachable, "the replica wants no request from this instance")
+		return
+	}
 	if replica.hasFailed() {
 		replica.startProbe(l, upstream)
 		writeOutcome(w, outcomeUnreachable, "the path to the replica is down here as well")
@@ -72,6 +76,7 @@
 	}
 	defer response.Body.Close()
 	e.metrics.relayedForPeers.Inc()
+	e.config.OnRelayed(upstream, response)
 	passOn(w, response)
 }
 
--- a/entry/egress.go
+++ b/entry/egress.go
@@ -32,8 +32,12 @@
 			// sent on it.
 			DisableReuse: true,
 		}),
-		Probe:      probeReplica,
-		Closing:    e.stopping.Load,
+		Probe:    probeReplica,
+		Closing:  e.stopping.Load,
+		MayRelay: func(upstream *blackboard.Upstream) bool { return e.throttle.MayRelay(upstream) },
+		OnRelayed: func(upstream *blackboard.Upstream, response *http.Response) {
+			e.throttle.Relayed(upstream, platform.Headers{}.ReadResponse(response).Feedback)
+		},
 		RequestID:  func(header http.Header) string { return platform.Headers{}.ReadRequest(header).ID },
 		Logger:     e.config.Logger,
 		Registerer: e.registry,
--- a/forward/partition_test.go
+++ b/forward/partition_test.go
@@ -20,6 +20,7 @@
 	"zinniamast/blackboard"
 	"zinniamast/egress"
 	"zinniamast/plain"
+	"zinniamast/platform"
 )
 
 // cutKind is what a cut does to the connections between a node and all replicas. New ones
@@ -283,7 +284,11 @@
 			},
 			DisableReuse: true,
 		}),
-		Probe:  n.paths.probe,
+		Probe:    n.paths.probe,
+		MayRelay: func(upstream *blackboard.Upstream) bool { return n.throttle.MayRelay(upstream) },
+		OnRelayed: func(upstream *blackboard.Upstream, response *http.Response) {
+			n.throttle.Relayed(upstream, platform.Headers{}.ReadResponse(response).Feedback)
+		},
 		Logger: logger,
 	})
 	n.server = &http.Server{
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -62,10 +62,11 @@
 	}
 }
 
-// hasReplica reports whether the service has a replica, be it one that the request avoids.
+// hasReplica reports whether the service has a replica for the request, be it one that the
+// request avoids or that takes none at the moment.
 func (h *Handler) hasReplica(c *call) bool {
-	_, refusal := h.choose(c, nil)
-	return refusal == nil
+	_, err := h.config.Router.Route(h.routeRequest(c, nil))
+	return err == nil
 }
 
 // chargeRetry charges the retry budget for the next send of a request if that is a retry.
--- a/forward/send.go
+++ b/forward/send.go
@@ -108,7 +108,8 @@
 		}
 	}
 	if err != nil && len(available.Blocked) > 0 {
-		return routed{}, zinniamast.Refuse(zinniamast.ReasonNoCapacity, "the replicas limit their requests").WithRetryAfter(fullRetryAfter)
+		return routed{}, zinniamast.Refuse(zinniamast.ReasonNoCapacity, "the replicas limit their requests").
+			WithRetryAfter(max(fullRetryAfter, available.RetryAfter))
 	}
 	if err != nil {
 		return routed{}, zinniamast.AsRefusal(err)
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -1,5 +1,6 @@
 // Package throttle keeps the requests that all nodes together send to a replica within what
-// the replica says in its answers that it bears: a rate limit, or few rejections.
+// the replica says in its answers that it bears: a rate limit, few rejections, or nothing for a
+// while.
 package throttle
 
 import (
@@ -65,6 +66,8 @@
 	// which a header was ignored.
 	services map[string]*brittleService
 	ignored  map[string]time.Time
+	// rests holds the replicas that want no request from this node.
+	rests map[string]rest
 }
 
 // limit is the limit that a replica names.
@@ -122,6 +125,7 @@
 		limits:   map[string]*limit{},
 		services: map[string]*brittleService{},
 		ignored:  map[string]time.Time{},
+		rests:    map[string]rest{},
 	}
 	if config.Gossip != nil {
 		config.Gossip.Subscribe(zinniamast.TopicRateLimit, t.receive)
@@ -136,6 +140,7 @@
 	defer t.mu.Unlock()
 	var available zinniamast.Availability
 	now := t.config.Now()
+	t.limitResting(service, now, &available)
 	t.limitBrittle(service, now, &available)
 	for id, l := range t.limits {
 		u := t.config.Upstreams.Get(id)
@@ -185,7 +190,7 @@
 	if ok && l.isNamedBy(upstream) && !t.mayBeginLimited(l, upstream, now) {
 		return false
 	}
-	if !t.beginBrittle(upstream, now) {
+	if t.isResting(upstream, now) || !t.beginBrittle(upstream, now) {
 		return false
 	}
 	if ok {
