Send nothing more to a replica that says in an answer that it leaves

A replica that leaves says so in all its answers (Server-Leaving: 1); a request that reaches it from an instance later than drainMs after that instance passed on such an answer is cut. Nothing read it: only the store's entry, Connection: close being of the connection alone, and a 421 stopped new sends. An answer to a request relayed for another instance and a load report count as well. A replica that announced it itself stays out when its lapsed entry comes back (test in registry); before, Readmit knew nothing of the announcement. Other instances are not told: they hear it from the store or from the replica.

--- a/blackboard/upstreams.go
+++ b/blackboard/upstreams.go
@@ -30,7 +30,9 @@
 
 	leaving  atomic.Bool
 	leavesAt atomic.Int64
-	inflight atomic.Int64
+	// announced reports whether the replica itself said that it leaves.
+	announced atomic.Bool
+	inflight  atomic.Int64
 }
 
 // Leaving reports whether the replica takes no new requests because it leaves.
@@ -191,14 +193,28 @@
 	return true
 }
 
+// AnnounceLeaving marks a replica as leaving because an answer of its own said so, and reports
+// whether it was not marked before. Readmit does not revert that.
+func (u *Upstreams) AnnounceLeaving(upstream *Upstream) bool {
+	upstream.announced.Store(true)
+	if u.Get(upstream.Instance.ID) != upstream {
+		return false
+	}
+	return u.MarkLeaving(upstream.Instance.ID, time.Time{})
+}
+
 // Readmit allows the present start of a replica again after it was marked as leaving
 // by mistake, because its entry lapsed during an outage of the platform's store and
-// came back. Callers do not readmit a replica that announced itself that it leaves.
+// came back. A replica that announced itself that it leaves is not readmitted.
 func (u *Upstreams) Readmit(id string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	upstream, ok := u.byID[id]
+	if ok && upstream.announced.Load() {
+		return
+	}
 	delete(u.barredStarts, id)
-	if upstream, ok := u.byID[id]; ok {
+	if ok {
 		upstream.leaving.Store(false)
 		upstream.leavesAt.Store(0)
 	}
--- a/condition.go
+++ b/condition.go
@@ -19,6 +19,8 @@
 	Condition Condition
 	// Rejected reports whether the replica had no room for the request.
 	Rejected bool
+	// Leaving reports whether the replica said that it leaves and takes no new work.
+	Leaving bool
 	// RestFor is how long the replica wants no request from this node; zero if it does not
 	// say so.
 	RestFor time.Duration
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -213,6 +213,7 @@
 			Slots: 8,
 		})
 	}
+	logger := slog.New(slog.NewTextHandler(&f.log, nil))
 	handler := forward.New(forward.Config{
 		Routes:        f.routes,
 		Upstreams:     f.upstreams,
@@ -237,6 +238,7 @@
 		Allowance: f,
 		Throttle: throttle.New(throttle.Config{
 			Upstreams: f.upstreams,
+			Logger:    logger,
 		}),
 		// For the quarantine each replica is a failure domain of its own.
 		Quarantine: quarantine.New(quarantine.Config{
@@ -246,7 +248,7 @@
 		Demand:   f,
 		Closing:  f.closing.Load,
 		Stopping: f.closing.Load,
-		Logger:   slog.New(slog.NewTextHandler(&f.log, nil)),
+		Logger:   logger,
 	})
 	f.handler = handler
 	f.server = httptest.NewServer(handler)
--- a/registry/follower_test.go
+++ b/registry/follower_test.go
@@ -262,6 +262,22 @@
 	f.eventually(time.Second, "readmitted", f.isAccepting("i-1"))
 }
 
+// Guards against a replica that said in its answers that it leaves and is readmitted as its entry comes back.
+func TestReplicaThatAnnouncedItsLeavingIsNotReadmitted(t *testing.T) {
+	f := newFixture(t)
+	f.store.PutJSON("servers", "i-1", readyEntry(1))
+	f.store.PutJSON("servers", "i-2", readyEntry(1))
+	f.eventually(time.Second, "replicas", f.isAccepting("i-2"))
+	f.is.True(f.upstreams.AnnounceLeaving(f.upstreams.Get("i-1")))
+	f.store.Remove("servers", "i-1")
+	f.store.Remove("servers", "i-2")
+	f.eventually(time.Second, "removed", f.isNotAccepting("i-2"))
+	f.store.PutJSON("servers", "i-1", readyEntry(1))
+	f.store.PutJSON("servers", "i-2", readyEntry(1))
+	f.eventually(time.Second, "readmitted", f.isAccepting("i-2"))
+	f.is.True(f.isNotAccepting("i-1")())
+}
+
 // The store drops its history, and a feed that is opened meanwhile receives no
 // changes while a replica leaves. The node must learn of it soon afterwards.
 func TestFeedOpenedWhileHistoryIsDropped(t *testing.T) {
--- a/reports/reader.go
+++ b/reports/reader.go
@@ -88,6 +88,9 @@
 		s.config.Logger.Debug("reading load report failed", "replica", u.Instance.ID, "cause", err)
 		return Report{}, false
 	}
+	if load.Leaving {
+		s.config.Upstreams.AnnounceLeaving(u)
+	}
 	return Report{
 		Replica:       u.Instance.ID,
 		FailureDomain: u.Instance.FailureDomain,
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -107,6 +107,7 @@
 	runs      []*Run
 	report    string
 	rateLimit float64
+	isLeaving bool
 }
 
 // New starts a replica on a free port.
@@ -150,10 +151,20 @@
 	r.rateLimit = limit
 }
 
+// SetLeaving lets the replica say in all its answers that it leaves.
+func (r *Replica) SetLeaving() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isLeaving = true
+}
+
 // serveReport answers a request for the load report.
 func (r *Replica) serveReport(w http.ResponseWriter, request *http.Request) {
 	r.mu.Lock()
 	report := r.report
+	if r.isLeaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	r.mu.Unlock()
 	switch {
 	case request.Header.Get("Zinniamast-Expect-Instance") != r.ID:
@@ -197,6 +208,9 @@
 	run.Behaviour = b
 	run.Refused = b.NotRun || b.Misdirected || run.Header.Get("Zinniamast-Expect-Instance") != r.ID
 	r.runs = append(r.runs, run)
+	if r.isLeaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.rateLimit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(r.rateLimit, 'g', -1, 64))
 	}
--- a/throttle/rest.go
+++ b/throttle/rest.go
@@ -88,7 +88,8 @@
 }
 
 // Relayed records what a replica said to this node in its answer to a request of another node.
-// What the replica says to all nodes, the other node reads itself.
+// The other node reads itself what the replica says of its limits.
 func (t *Throttle) Relayed(upstream *blackboard.Upstream, feedback zinniamast.Feedback) {
+	t.recordLeaving(upstream, feedback)
 	t.recordRest(upstream, feedback.RestFor)
 }
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -204,11 +204,19 @@
 // Answered records what a replica said of itself in its answer to a request that was sent
 // at the given time.
 func (t *Throttle) Answered(upstream *blackboard.Upstream, sent time.Time, feedback zinniamast.Feedback) {
+	t.recordLeaving(upstream, feedback)
 	t.recordLimit(upstream, sent, feedback.Condition.RateLimit)
 	t.recordBrittle(upstream, sent, feedback)
 	t.recordRest(upstream, feedback.RestFor)
 }
 
+// recordLeaving records that a replica said that it leaves.
+func (t *Throttle) recordLeaving(upstream *blackboard.Upstream, feedback zinniamast.Feedback) {
+	if feedback.Leaving && t.config.Upstreams.AnnounceLeaving(upstream) {
+		t.config.Logger.Info("replica marked as leaving", "replica", upstream.Instance.ID, "sign", "its answer says so")
+	}
+}
+
 // recordLimit records the limit that a replica named; zero if it named none. An answer
 // without a limit ends a limit only if the request was sent after the limit was last named,
 // as answers may overtake each other.
