Bound the head of an answer to 64 KB

Bytes that are no answer may come without end. Bodies and events were bounded; for a head net/http's default of 10 MB each stood, so that fourteen such answers at once fill an instance of 144 MB. The clients of engines and of the platform's interfaces get the same bound, without tests of their own.

The tests showed that net/http logs 4 KB of such bytes with the standard logger, past the queues of eventlog; these lines now go through them at debug level.

--- a/command/entry.go
+++ b/command/entry.go
@@ -53,6 +53,7 @@
 		ReplaceAttr: plainError,
 	})
 	logger := log.Logger()
+	redirectStandardLog(logger)
 	stopLog := startLogWriter(log)
 	defer stopLog()
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/command/node.go
+++ b/command/node.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"log"
 	"log/slog"
 	"os/signal"
 	"syscall"
@@ -32,6 +33,7 @@
 		return exitUsage
 	}
 	logger := newLogger(errOut, loaded.LogLevel)
+	redirectStandardLog(logger)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	instance, err := node.New(node.Config{
@@ -50,6 +52,14 @@
 	return exitOK
 }
 
+// redirectStandardLog passes lines of the standard library's logger on at debug level.
+// net/http logs the first kilobytes of whatever an idle connection receives, to a stream that
+// may block.
+func redirectStandardLog(logger *slog.Logger) {
+	log.SetFlags(0)
+	log.SetOutput(slog.NewLogLogger(logger.Handler(), slog.LevelDebug).Writer())
+}
+
 // newLogger returns a logger that writes key=value lines. An invalid level means
 // info.
 func newLogger(out io.Writer, level string) *slog.Logger {
--- a/engine/client.go
+++ b/engine/client.go
@@ -17,6 +17,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"zinniamast"
+	"zinniamast/httplimit"
 )
 
 // Errors of this package; they are returned inside *zinniamast.UpstreamError.
@@ -68,6 +69,8 @@
 		}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerReplica,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: httplimit.MaxHeaderBytes,
 	}
 }
 
--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -4,6 +4,9 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 
 	"zinniamast/standin/replica"
 )
@@ -127,3 +130,36 @@
 		})
 	}
 }
+
+// Guards against an answer without end that looks complete, or that outlasts its caller's deadline.
+func TestAnswerWithoutEndIsNeverWhole(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 1)
+	f.setBehaviour(replica.Behaviour{
+		Unframed: true,
+		Endless:  true,
+	})
+	began := time.Now()
+	is.True(f.do(f.request(http.MethodGet, pathSafe, "")).broken)
+	is.True(time.Since(began) < 3*time.Second) // the deadline is 1.5 s
+}
+
+// Guards against a stream that stays with a replica whose event never ends.
+func TestEventWithoutEndIsLeft(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 2)
+	f.replicas[0].SetBehaviour(replica.Behaviour{
+		Unframed: true,
+		Endless:  true,
+		Events:   2,
+	})
+	f.replicas[1].SetBehaviour(replica.Behaviour{
+		Events: 4,
+	})
+	for range 4 {
+		got := f.do(f.request(http.MethodGet, pathResumable, ""))
+		is.Equal(got.status, http.StatusOK)
+		is.True(!got.broken)
+		is.Equal(got.body, events(4))
+	}
+}
--- a/httplimit/client.go
+++ b/httplimit/client.go
@@ -26,6 +26,11 @@
 	MaxConnections int
 }
 
+// MaxHeaderBytes bounds the head of an answer, in bytes. Heads are below a kilobyte. The
+// default of net/http is 10 MB: a few peers that send heads without end at once would fill the
+// memory of a small node.
+const MaxHeaderBytes = 64 << 10
+
 // dialTimeout bounds only the connect, so that an unreachable address is
 // distinguished from a slow one.
 const dialTimeout = 2 * time.Second
@@ -101,7 +106,9 @@
 		MaxIdleConnsPerHost:   c.MaxConnections,
 		IdleConnTimeout:       30 * time.Second,
 		ResponseHeaderTimeout: c.Timeout,
-		ForceAttemptHTTP2:     true,
+
+		MaxResponseHeaderBytes: MaxHeaderBytes,
+		ForceAttemptHTTP2:      true,
 	}
 	return &http.Client{
 		Timeout: c.Timeout,
--- a/plain/client.go
+++ b/plain/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"zinniamast"
+	"zinniamast/httplimit"
 )
 
 // Defaults for zero fields of a Config, and the limit of idle connections.
@@ -83,6 +84,8 @@
 			DisableKeepAlives:   config.DisableReuse,
 			IdleConnTimeout:     config.IdleTimeout,
 			MaxIdleConnsPerHost: maxIdleConns,
+
+			MaxResponseHeaderBytes: httplimit.MaxHeaderBytes,
 		},
 	}
 }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -75,6 +75,9 @@
 	// connection. ResetEnd then ends the connection with a reset.
 	Unframed bool
 	ResetEnd bool
+	// Endless lets an unframed answer go on with bytes that end no event until the caller
+	// closes the connection.
+	Endless bool
 }
 
 // Faulty reports whether an answer lacks the replica's stamp, carries the ID of
--- a/standin/replica/unframed.go
+++ b/standin/replica/unframed.go
@@ -40,7 +40,10 @@
 		_ = buffered.Flush()
 		time.Sleep(b.Gap)
 	}
-	_ = buffered.Flush()
+	err = buffered.Flush()
+	for b.Endless && err == nil {
+		_, err = fmt.Fprint(buffered, "more and more ")
+	}
 	if b.ResetEnd {
 		time.Sleep(resetDelay) // A reset discards what has not been read.
 	}
