Ask a replica that has just rejected a request last

After a rejection the node asks the replica only if no other can take the request, for 0.25 s, doubled with each rejection in a row up to 2 s; an answer to a later request ends it.

--- a/forward/rest_test.go
+++ b/forward/rest_test.go
@@ -181,3 +181,25 @@
 		})
 	}
 }
+
+// pooledShare is the share of requests that 48 slots used as one serve of the load of 44 that they get
+// (Erlang's loss formula).
+const pooledShare = 0.93
+
+// Guards against nodes that ask full replicas again and again, and whose requests fail although other replicas have room.
+func TestRequestsFindRoomAtOtherReplicas(t *testing.T) {
+	none := resting{}
+	shedding := resting{
+		shedding: []string{"i-1", "i-2", "i-3"},
+	}
+	for seed := uint64(1); seed <= 4; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			check := is.New(t)
+			_, _, calm := playRest(t, seed, none, false)
+			_, _, served := playRest(t, seed, shedding, false)
+			t.Logf("%.3f served in calm, %.3f while a third of the replicas shed all", calm, served)
+			check.True(calm >= 0.95)
+			check.True(served >= 0.95*pooledShare)
+		})
+	}
+}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -68,6 +68,8 @@
 	ignored  map[string]time.Time
 	// rests holds the replicas that want no request from this node.
 	rests map[string]rest
+	// full holds the replicas that rejected a request of this node.
+	full map[string]full
 }
 
 // limit is the limit that a replica names.
@@ -126,6 +128,7 @@
 		services: map[string]*brittleService{},
 		ignored:  map[string]time.Time{},
 		rests:    map[string]rest{},
+		full:     map[string]full{},
 	}
 	if config.Gossip != nil {
 		config.Gossip.Subscribe(zinniamast.TopicRateLimit, t.receive)
@@ -140,6 +143,7 @@
 	defer t.mu.Unlock()
 	var available zinniamast.Availability
 	now := t.config.Now()
+	t.limitFull(service, now, &available)
 	t.limitResting(service, now, &available)
 	t.limitBrittle(service, now, &available)
 	for id, l := range t.limits {
@@ -208,6 +212,7 @@
 	t.recordLimit(upstream, sent, feedback.Condition.RateLimit)
 	t.recordBrittle(upstream, sent, feedback)
 	t.recordRest(upstream, feedback.RestFor)
+	t.recordFull(upstream, sent, feedback.Rejected)
 }
 
 // recordLeaving records that a replica said that it leaves.
