Soak instances with brittle, resting and leaving replicas

The stand-in replica takes a number of requests at once, names its brittleness, a rest and its leaving, and fails if it rejects too many. The soak lets six replicas be brittle for 14 s, one of them ask for rest when it is full and one leave, while four instances are reloaded, stopped and started in turn and links are reset, and checks the number of failures, the rests and what the leaving one gets.

--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -28,7 +28,9 @@
 			is := is.New(t)
 			f := newFixture(t, 1)
 			leaving := f.replicas[0]
-			leaving.SetLeaving()
+			leaving.SetCondition(replica.Condition{
+				IsLeaving: true,
+			})
 			leaving.SetBehaviour(behaviour)
 			path := pathSafe
 			if behaviour.Events > 0 {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -118,6 +118,9 @@
 
 // send sends one request to a node.
 func (d *deployment) send(client *http.Client, n *node, id, path string) (*http.Response, error) {
+	d.mu.Lock()
+	d.askedNodes[id] = n
+	d.mu.Unlock()
 	request, err := caller.Request{
 		ID:      id,
 		Address: n.frontendAddress,
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"os"
@@ -45,13 +46,17 @@
 	replicas []*replica.Replica
 	links    []*processtest.Link
 	retries  retryBudget
+	// slots is the number of slots that the replicas list.
+	slots int
 	// requestsSent counts the requests that callers have sent.
 	requestsSent atomic.Int64
 
 	// mu guards the fields below, which faults and callers change.
 	mu sync.Mutex
-	// sentAt holds the times at which requests were sent.
-	sentAt []time.Time
+	// sentAt holds the times at which requests were sent, and askedNodes the instances that
+	// they were sent to, by ID.
+	sentAt     []time.Time
+	askedNodes map[string]*node
 	// version is the version of the newest configuration.
 	version int
 	// locations holds the location of each replica, and removed lists the replicas
@@ -102,6 +107,9 @@
 	})
 }
 
+// defaultSlots is the number of slots that replicas list unless a soak sets another one.
+const defaultSlots = 16
+
 // linkOf returns the link in front of a replica.
 func (d *deployment) linkOf(r *replica.Replica) *processtest.Link {
 	d.mu.Lock()
@@ -166,10 +174,12 @@
 func newDeployment(tb testing.TB, c Config) *deployment {
 	tb.Helper()
 	d := &deployment{
-		tb:        tb,
-		store:     store.New(),
-		locations: map[*replica.Replica]location{},
-		retries:   c.retryBudget(),
+		tb:         tb,
+		store:      store.New(),
+		locations:  map[*replica.Replica]location{},
+		retries:    c.retryBudget(),
+		slots:      cmp.Or(c.slots, defaultSlots),
+		askedNodes: map[string]*node{},
 	}
 	tb.Cleanup(d.store.Close)
 	d.putNextConfiguration()
@@ -322,7 +332,7 @@
 	at := d.locations[r]
 	d.mu.Unlock()
 	d.store.Put("servers", r.ID, fmt.Appendf(nil,
-		`{"service":"svc","address":%q,"zone":%q,"state":%q,"version":%q,"slots":16,"born":1}`, at.address, at.domain, state, at.version))
+		`{"service":"svc","address":%q,"zone":%q,"state":%q,"version":%q,"slots":%d,"born":1}`, at.address, at.domain, state, at.version, d.slots))
 }
 
 // replace marks a replica as draining. The returned function deletes its entry and
--- a/soak/limit.go
+++ b/soak/limit.go
@@ -73,11 +73,13 @@
 // and returns at the given time.
 func (d *deployment) restartInTurn(until time.Time) {
 	for _, n := range d.nodes {
+		from := time.Now()
 		n.process.Hangup()
 		n.process.Terminate()
 		_ = n.process.Wait(stopTimeout) // The process logs how it ended.
 		d.startNode(n)
 		d.waitReady(n)
+		d.recordNodeFault(n, from)
 		if time.Now().After(until) {
 			return
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -22,6 +22,8 @@
 
 	// keepsReplicas leaves out the faults that replace replicas or change how they answer.
 	keepsReplicas bool
+	// slots is the number of slots that replicas list; zero means defaultSlots.
+	slots int
 }
 
 // retryBudget limits the retries of a deployment in each retry window of the settings.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,9 @@
 	// rolloutSeeds is how many seeds are soaked with a rollout of a good and a bad version.
 	rolloutSeeds = flag.Int("soak.rolloutseeds", 1, "how many seeds are soaked with rollouts")
 
+	// conditionSeeds is how many seeds are soaked with replicas that are brittle, rest or leave.
+	conditionSeeds = flag.Int("soak.conditionseeds", 1, "how many seeds are soaked with brittle, resting and leaving replicas")
+
 	first  = flag.Uint64("soak.first", 1, "the first seed")
 	length = flag.Duration("soak.length", 6*time.Second, "how long faults are injected")
 	size   = flag.Int("soak.instances", 4, "how many entry instances there are")
@@ -99,6 +102,23 @@
 	is.New(t).True(float64(s.Served) > 0.95*float64(reachedInstance))
 }
 
+// Guards against brittle replicas that fail, rests that are broken and requests to a replica that leaves, while instances are restarted in turn and links are reset.
+func TestConditionsOfReplicasHoldWhileInstancesRestart(t *testing.T) {
+	for i := range uint64(*conditionSeeds) {
+		t.Run(fmt.Sprintf("seed %d", *first+i), func(t *testing.T) {
+			s := soak.RunConditions(t, soak.Config{
+				Seed:      *first + i,
+				Instances: *size,
+			})
+			t.Logf("%d requests, %d served, %d refused, without answer %v; %v", s.Requests, s.Served, s.Refused, s.Unanswered, s.Faults)
+			for _, line := range s.Violations {
+				t.Error(line)
+			}
+			is.New(t).True(s.Served > 0)
+		})
+	}
+}
+
 // Guards against requests that share only a part of their prompts and go on crashing replicas, while instances are restarted in turn.
 func TestCrashingPartIsHeldBackWhileInstancesRestart(t *testing.T) {
 	s := soak.RunCrashingPart(t, soak.Config{
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -25,8 +25,12 @@
 	// how it is answered.
 	Received  time.Time
 	Behaviour Behaviour
-	// Refused reports that the replica refused the request and did not run it.
+	// Refused reports that the replica refused the request and did not run it, and RestFor
+	// the rest that it asked for then.
 	Refused bool
+	RestFor time.Duration
+	// IsLeaving reports whether the answer said that the replica leaves.
+	IsLeaving bool
 	// Disconnected is closed once the caller's side closes the connection before the end
 	// of the answer.
 	Disconnected chan struct{}
@@ -110,7 +114,13 @@
 	runs      []*Run
 	report    string
 	rateLimit float64
-	isLeaving bool
+	condition Condition
+	// running counts the requests in progress, rejections holds the times of the rejections in
+	// the last second, and failures counts those under which the replica failed.
+	running     int
+	rejections  []time.Time
+	failures    int
+	failedUntil time.Time
 }
 
 // New starts a replica on a free port.
@@ -154,20 +164,11 @@
 	r.rateLimit = limit
 }
 
-// SetLeaving lets the replica say in all its answers that it leaves.
-func (r *Replica) SetLeaving() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.isLeaving = true
-}
-
 // serveReport answers a request for the load report.
 func (r *Replica) serveReport(w http.ResponseWriter, request *http.Request) {
 	r.mu.Lock()
 	report := r.report
-	if r.isLeaving {
-		w.Header().Set("Server-Leaving", "1")
-	}
+	r.nameCondition(w.Header())
 	r.mu.Unlock()
 	switch {
 	case request.Header.Get("Zinniamast-Expect-Instance") != r.ID:
@@ -210,14 +211,13 @@
 	run.Received = time.Now()
 	run.Behaviour = b
 	run.Refused = b.NotRun || b.Misdirected || run.Header.Get("Zinniamast-Expect-Instance") != r.ID
+	run.IsLeaving = r.condition.IsLeaving
+	r.nameCondition(w.Header())
+	r.takeSlot(run, w.Header())
+	b = run.Behaviour
 	r.runs = append(r.runs, run)
-	if r.isLeaving {
-		w.Header().Set("Server-Leaving", "1")
-	}
-	if r.rateLimit > 0 {
-		w.Header().Set("Server-Limit", strconv.FormatFloat(r.rateLimit, 'g', -1, 64))
-	}
 	r.mu.Unlock()
+	defer r.freeSlot()
 	stop := make(chan struct{})
 	defer close(stop)
 	go func() {
