Count how many replicas of a service are brittle as they say so

For each replica that had not answered yet, a choice counted all replicas anew whether most were brittle: the square of the fleet a request. The count is now kept; a replica's state is one value instead of two flags.

--- a/throttle/brittle.go
+++ b/throttle/brittle.go
@@ -42,15 +42,23 @@
 	// maxRejections is the lowest number that one of them named.
 	maxRejections int
 	replicas      map[string]*brittleReplica
+	// surplus is how many more of the replicas that have answered are brittle than sound.
+	surplus int
 }
 
+// brittleness is what the last answer of a replica said, as a summand of a service's surplus.
+type brittleness int
+
+const (
+	unheard brittleness = 0
+	brittle brittleness = 1
+	sound   brittleness = -1
+)
+
 // brittleReplica is what this node knows of one start of a replica of such a service.
 type brittleReplica struct {
 	started time.Time
-	// isBrittle reports whether the replica last said that it is brittle, and isSound that it
-	// answered and did not say so.
-	isBrittle bool
-	isSound   bool
+	state   brittleness
 	// maxRejections is the number of rejections in a second that the replica bears, and
 	// namedAt when it last named it.
 	maxRejections int
@@ -129,7 +137,7 @@
 // lock.
 func (t *Throttle) brittleReplica(s *brittleService, u *blackboard.Upstream, now time.Time) *brittleReplica {
 	r := s.replica(&u.Instance)
-	if !r.isBrittle && (r.isSound || !s.isMostlyBrittle()) {
+	if r.state == sound || r.state == unheard && s.surplus <= 0 {
 		return nil
 	}
 	if r.slots == 0 {
@@ -137,7 +145,9 @@
 		if u.Slots == 0 {
 			r.slots = defaultSlots
 		}
-		r.maxRejections = s.maxRejections
+		if r.state == unheard {
+			r.maxRejections = s.maxRejections
+		}
 	}
 	isNew := r.sharedAt.IsZero()
 	if now.Sub(r.sharedAt) >= shareInterval {
@@ -157,17 +167,10 @@
 	return r.share.Of(max(1, int(initialPlaces*float64(r.slots))))
 }
 
-// isMostlyBrittle reports whether more of the replicas that have answered are brittle than not.
-func (s *brittleService) isMostlyBrittle() bool {
-	surplus := 0
-	for _, r := range s.replicas {
-		if r.isBrittle {
-			surplus++
-		} else if r.isSound {
-			surplus--
-		}
-	}
-	return surplus > 0
+// setState records what the last answer of a replica said.
+func (s *brittleService) setState(r *brittleReplica, state brittleness) {
+	s.surplus += int(state) - int(r.state)
+	r.state = state
 }
 
 // turnLength returns the time in which one place of the replica may be tried.
@@ -232,17 +235,17 @@
 		r.namedAt = now
 		r.maxRejections = feedback.Condition.MaxRejections
 		s.maxRejections = min(s.maxRejections, r.maxRejections)
-		if !r.isBrittle {
+		if r.state != brittle {
 			t.config.Logger.Info("replica is brittle", "replica", instance.ID, "service", instance.Service, "max_rejections", r.maxRejections)
 		}
-		r.isBrittle, r.isSound = true, false
+		s.setState(r, brittle)
 	} else if sent.After(r.namedAt) && sent.After(s.since) {
-		if r.isBrittle {
+		if r.state == brittle {
 			t.config.Logger.Info("replica is brittle no more", "replica", instance.ID, "service", instance.Service)
 		}
-		r.isBrittle, r.isSound = false, true
+		s.setState(r, sound)
 	}
-	if feedback.Rejected && r.isBrittle {
+	if feedback.Rejected && r.state == brittle {
 		t.recordRejection(upstream, r, now)
 		r.recordFull(int(upstream.Inflight()))
 	} else if !feedback.Rejected {
@@ -285,7 +288,11 @@
 // replica returns the state of a start of a replica.
 func (s *brittleService) replica(instance *zinniamast.Instance) *brittleReplica {
 	r, ok := s.replicas[instance.ID]
-	if !ok || !r.started.Equal(instance.Started) {
+	if ok && !r.started.Equal(instance.Started) {
+		s.setState(r, unheard)
+		ok = false
+	}
+	if !ok {
 		r = &brittleReplica{
 			started: instance.Started,
 		}
