Let a request wait a moment for a place at a brittle replica

Such a request now waits for a place, 0.3 s at most and no longer than a third of its first-token target; where the node holds no place it is refused at once as before.

--- a/condition.go
+++ b/condition.go
@@ -35,6 +35,9 @@
 	Blocked []string
 	// Spare are replicas that may get one only if no other replica can.
 	Spare []string
+	// FreesPlace reports whether a blocked replica can get a request as soon as one of this
+	// node's requests there ends.
+	FreesPlace bool
 	// RetryAfter is the time until a replica may get a request again, if all of them want none
 	// from this node; zero if that is not so.
 	RetryAfter time.Duration
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -251,6 +251,10 @@
 	dials    int
 	// ran tells whether the request has run, judging by all sends so far.
 	ran zinniamast.Ran
+	// mayGetPlace reports whether a replica that had no room for the request may soon have, and
+	// placeWaits counts the waits for that.
+	mayGetPlace bool
+	placeWaits  int
 	// owesRetry reports whether the next send must be charged to the retry budget.
 	owesRetry bool
 	// metSilence reports whether a replica was silent since the last event. resumeWaits
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -45,6 +45,8 @@
 		}
 		to, refusal := h.chooseApart(c)
 		switch {
+		case refusal != nil && h.awaitPlace(ctx, c):
+			continue
 		case refusal != nil && !(c.mayResume(a) && h.hasReplica(c)):
 			return routed{}, refusal
 		case refusal != nil:
@@ -62,6 +64,31 @@
 	}
 }
 
+const (
+	// placeInterval is the wait for a place at a replica that had no room for a request, which
+	// is repeated at most maxPlaceWaits times and takes at most a third of the first-token
+	// target: the places of a node become free many times a second.
+	placeInterval = 50 * time.Millisecond
+	maxPlaceWaits = 6
+	placeTargets  = 3
+)
+
+// awaitPlace waits a moment for a request that no replica has a place for, if one of this node's
+// own requests may free one soon. It returns false if the request should not wait (any longer).
+func (h *Handler) awaitPlace(ctx context.Context, c *call) bool {
+	waited := time.Duration(c.placeWaits+1) * placeInterval
+	if !c.mayGetPlace || c.placeWaits >= maxPlaceWaits || waited > c.route.Target/placeTargets {
+		return false
+	}
+	c.placeWaits++
+	select {
+	case <-time.After(placeInterval):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // hasReplica reports whether the service has a replica for the request, be it one that the
 // request avoids or that takes none at the moment.
 func (h *Handler) hasReplica(c *call) bool {
--- a/forward/send.go
+++ b/forward/send.go
@@ -93,6 +93,7 @@
 // chooseSelected asks the router for the next replica among the selected ones.
 func (h *Handler) chooseSelected(c *call, avoid []string) (routed, *zinniamast.Refusal) {
 	available := h.config.Throttle.Limited(c.service)
+	c.mayGetPlace = available.FreesPlace
 	avoid = slices.Concat(avoid, available.Blocked)
 	withoutSpare := slices.Concat(avoid, available.Spare)
 	if to, ok := h.chooseDue(c, withoutSpare, available.Due); ok {
--- a/throttle/brittle.go
+++ b/throttle/brittle.go
@@ -19,7 +19,7 @@
 // its own, so that no two nodes try one at the same moment.
 const (
 	// initialPlaces is the part of a replica's slots that the nodes use without a trial.
-	initialPlaces = 0.625
+	initialPlaces = 0.5
 	// defaultSlots is assumed of a replica that does not list its slots.
 	defaultSlots = 4
 	// trialsAfter is the time from which places are tried. A replica may have less room from
@@ -92,6 +92,7 @@
 			available.Spare = append(available.Spare, u.Instance.ID)
 		default:
 			available.Blocked = append(available.Blocked, u.Instance.ID)
+			available.FreesPlace = available.FreesPlace || r.allowed > 0
 		}
 	}
 }
