Let members follow their representatives' word on another domain's contacts

Cause, traced by the state of the failing node: summaries of a failure domain are ordered by the sender's clock, which does not tell which sender knows its members best. The node holds an outdated list under a version newer than the second broadcast of the contacts, and the representatives broadcast no further one for five minutes. The second broadcast only moved the moment by two seconds.

A member now ranks what it hears by its source: a representative's broadcast before the full state of a member of its own domain, and this before what a node of the other domain says directly. Only a representative goes by the versions alone. The second broadcast is gone.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -112,7 +112,7 @@
 		m.queueCorrection(record, from)
 	}
 	for _, summary := range message.Summaries {
-		m.mergeSummary(summary)
+		m.mergeSummary(summary, sourceMember)
 	}
 	callbacks := m.receiveGossip(message.News, message.From, false)
 	if version := message.Config; from != nil && version > m.config.ConfigVersion() {
--- a/membership/rejoin_test.go
+++ b/membership/rejoin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,3 +90,33 @@
 		})
 	}
 }
+
+// Guards against a node that keeps the contacts another starting node named, which knew no others yet.
+func TestContactsOfStartingNodesAreReplaced(t *testing.T) {
+	contactsOf := func(each *node) []string {
+		var ids []string
+		for _, member := range each.table.All() {
+			if member.FailureDomain != each.domain {
+				ids = append(ids, member.ID)
+			}
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	for wait := 20 * time.Second; wait < 21*time.Second; wait += 125 * time.Millisecond {
+		t.Run(fmt.Sprint("after ", wait), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				nodes := n.fleet(t, 8, 2)
+				time.Sleep(wait)
+				nodes = append(nodes,
+					n.start(t, "node-008", "domain-00", "node-009", "node-000", "node-001"),
+					n.start(t, "node-009", "domain-01", "node-008", "node-000", "node-001"))
+				time.Sleep(10 * time.Second)
+				for i, each := range nodes {
+					is.New(t).Equal(contactsOf(each), contactsOf(nodes[i%2]))
+				}
+			})
+		})
+	}
+}
--- a/membership/summary.go
+++ b/membership/summary.go
@@ -12,18 +12,27 @@
 )
 
 // summaryTTL is the lifetime of a summary within a failure domain. It is broadcast again
-// every summaryRepeatInterval, well before it expires, and once summaryConfirmInterval
-// after its contacts have changed: a member may have received an outdated summary under a
-// newer version meanwhile, directly from a node that had not heard of the change.
+// every summaryRepeatInterval, well before it expires.
 const (
-	summaryTTL             = 11 * time.Minute
-	summaryRepeatInterval  = 5 * time.Minute
-	summaryConfirmInterval = 2 * time.Second
+	summaryTTL            = 11 * time.Minute
+	summaryRepeatInterval = 5 * time.Minute
+)
+
+// summarySource is who sent this node a summary. The versions of a domain's nodes do not
+// tell which of them knows its members best; the representatives hear from it all the
+// time, so the other members prefer what these broadcast.
+type summarySource int
+
+const (
+	sourceDirect summarySource = iota
+	sourceMember
+	sourceRepresentative
 )
 
 // domain is this node's view of another failure domain.
 type domain struct {
 	summary  Summary
+	source   summarySource
 	outbox   outbox
 	inFlight bool
 	sentAt   time.Time
@@ -33,8 +42,6 @@
 	broadcastAt time.Time
 	// broadcastContacts holds the contacts in that broadcast.
 	broadcastContacts []Record
-	// isConfirmed means that these contacts have been broadcast twice.
-	isConfirmed bool
 	// contactIndex selects the contact to use; it advances when an exchange fails.
 	contactIndex int
 }
@@ -162,12 +169,13 @@
 		if _, known := m.domains[summary.Domain]; known && message.Want {
 			continue
 		}
-		if !m.mergeSummary(summary) || summary.Domain != message.Domain {
+		applied := m.mergeSummary(summary, sourceDirect)
+		d := m.domains[summary.Domain]
+		if d == nil || summary.Domain != message.Domain {
 			continue
 		}
-		d := m.domains[summary.Domain]
 		d.lastContactAt = time.Now()
-		if m.isRepresentative() {
+		if applied && m.isRepresentative() {
 			m.broadcastSummary(d)
 		}
 		if summary.Config > m.config.ConfigVersion() && len(summary.Contacts) > 0 {
@@ -180,7 +188,7 @@
 // mergeSummary applies a summary if it is newer and reports whether it did; the caller
 // holds the lock. From a summary of this node's own domain, received while joining, it
 // uses only the contacts.
-func (m *Membership) mergeSummary(summary Summary) bool {
+func (m *Membership) mergeSummary(summary Summary, source summarySource) bool {
 	if summary.Domain == m.config.FailureDomain {
 		for _, contact := range summary.Contacts {
 			m.mergeContact(contact)
@@ -195,14 +203,29 @@
 		}
 		m.domains[summary.Domain] = d
 	}
-	if summary.Version <= d.summary.Version || len(summary.Contacts) > maxContacts {
+	if len(summary.Contacts) > maxContacts || !m.supersedes(summary, source, d) {
 		return false
 	}
 	m.writeContacts(d.summary.Contacts, summary)
 	d.summary = summary
+	d.source = source
 	return true
 }
 
+// supersedes reports whether a summary replaces the present one of a domain; the caller
+// holds the lock.
+func (m *Membership) supersedes(summary Summary, source summarySource, d *domain) bool {
+	isKnown := len(d.summary.Contacts) > 0
+	switch {
+	case isKnown && source > d.source && !m.isRepresentative():
+		return true
+	case isKnown && source < d.source && !m.isRepresentative() && !slices.Equal(summary.Contacts, d.summary.Contacts):
+		return false
+	default:
+		return summary.Version > d.summary.Version
+	}
+}
+
 // mergeContact adds a member of this failure domain that another domain named, if no
 // member is known yet. The information may be outdated: a member recorded as dead stays
 // dead, and the added one is monitored like any other.
@@ -255,15 +278,9 @@
 // holds the lock.
 func (m *Membership) broadcastSummary(d *domain) {
 	now := time.Now()
-	same := slices.Equal(d.broadcastContacts, d.summary.Contacts)
-	interval := summaryConfirmInterval
-	if d.isConfirmed {
-		interval = summaryRepeatInterval
-	}
-	if same && now.Sub(d.broadcastAt) < interval {
+	if slices.Equal(d.broadcastContacts, d.summary.Contacts) && now.Sub(d.broadcastAt) < summaryRepeatInterval {
 		return
 	}
-	d.isConfirmed = same
 	d.broadcastAt = now
 	d.broadcastContacts = d.summary.Contacts
 	value, err := json.Marshal(d.summary)
@@ -302,7 +319,6 @@
 		}
 		d.broadcastAt = time.Time{}
 		d.broadcastContacts = nil
-		d.isConfirmed = false
 		m.gossip.remove(gossipKey{
 			topic:  topicSummary,
 			key:    d.summary.Domain,
@@ -318,7 +334,7 @@
 	if json.Unmarshal(value, &summary) != nil {
 		return
 	}
-	if m.mergeSummary(summary) {
+	if m.mergeSummary(summary, sourceRepresentative) {
 		m.domains[summary.Domain].lastContactAt = time.Now()
 	}
 }
