Give the turns of brittle replicas' places to those that are not used yet

Cause: each place of a replica has its turn to be tried, also the half of them that is used without a trial, so half of the turns were idle: with eight slots and one rejection a second the turns took 16 s of the 20 s for which replicas are brittle.

Three of four turns are now those of the other places. Every fourth stays with the first half, as a node that was rejected there would otherwise never use its place again (TestEachPlaceHasItsTurn fails in four lines of its output without those turns, and with one slot it panics if there is no other place to try).

--- a/throttle/brittle.go
+++ b/throttle/brittle.go
@@ -27,6 +27,8 @@
 	trialsAfter = 3500 * time.Millisecond
 	// triedShare is the part of the rejections that a replica bears that trials may cause.
 	triedShare = 0.5
+	// initialTurns is the number of turns of which one is for the places used without a trial.
+	initialTurns = 4
 	// keepTried is how long a place that was tried is kept without being used.
 	keepTried = 6 * time.Second
 	// shareInterval is how often a node looks at which nodes there are.
@@ -163,10 +165,11 @@
 	return r
 }
 
-// base returns the number of places that this node uses without a trial.
-func (r *brittleReplica) base() int {
-	return r.share.Of(max(1, int(initialPlaces*float64(r.slots))))
-}
+// initial returns the number of places that the nodes use without a trial.
+func (r *brittleReplica) initial() int { return max(1, int(initialPlaces*float64(r.slots))) }
+
+// base returns how many of them are this node's.
+func (r *brittleReplica) base() int { return r.share.Of(r.initial()) }
 
 // setState records what the last answer of a replica said.
 func (s *brittleService) setState(r *brittleReplica, state brittleness) {
@@ -184,6 +187,17 @@
 	return int(now.Sub(s.since) / r.turnLength())
 }
 
+// placeInTurn returns the place that may be tried in a turn. Most turns are those of the places
+// that are not used without a trial; the others have some turns, as their node may have lost them.
+func (r *brittleReplica) placeInTurn(turn int) int {
+	initial := r.initial()
+	cycle := turn / initialTurns
+	if turn%initialTurns == 0 || initial == r.slots {
+		return cycle % initial
+	}
+	return initial + (turn-cycle-1)%(r.slots-initial)
+}
+
 // mayTry reports whether this node may use one place more than is allowed. Only the first half of
 // a turn counts, as the nodes' turns do not begin at quite the same time.
 func (s *brittleService) mayTry(r *brittleReplica, now time.Time) bool {
@@ -192,7 +206,7 @@
 	}
 	length := r.turnLength()
 	turn := s.turn(r, now)
-	return turn != r.triedTurn && now.Sub(s.since)%length < length/2 && r.share.Holds(turn%r.slots)
+	return turn != r.triedTurn && now.Sub(s.since)%length < length/2 && r.share.Holds(r.placeInTurn(turn))
 }
 
 // recordTaken records that the replica took a request that was sent at the given time.
--- a/throttle/brittle_test.go
+++ b/throttle/brittle_test.go
@@ -208,3 +208,42 @@
 		}
 	})
 }
+
+// Guards against a node that never uses a place again in which a replica rejected a request, and
+// against one that waits longer than all places' turns take.
+func TestEachPlaceHasItsTurn(t *testing.T) {
+	const rejections, allTurns = 3, 22 * time.Second
+	for _, slots := range []int{1, 2, 3, 8, 16} {
+		for rank := range 6 {
+			t.Run(fmt.Sprint(slots, " slots, rank ", rank), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					share := throttle.Share{
+						Rank:  rank,
+						Nodes: 6,
+					}
+					node, _, replicas := newService(share, 2)
+					u := replicas[0]
+					u.Slots = slots
+					named := brittle(rejections)
+					node.Answered(u, time.Now(), named)
+					time.Sleep(5 * time.Second)
+					named.Rejected = true
+					for node.Begin(u) {
+						node.Answered(u, time.Now(), named)
+						u.EndAttempt()
+					}
+					named.Rejected = false
+					taken := 0
+					for start := time.Now(); time.Since(start) < allTurns; time.Sleep(50 * time.Millisecond) {
+						node.Answered(replicas[1], time.Now(), named)
+						if node.Begin(u) {
+							node.Answered(u, time.Now().Add(time.Millisecond), named)
+							taken++
+						}
+					}
+					is.New(t).Equal(taken, share.Of(slots))
+				})
+			})
+		}
+	}
+}
