Try as many places of brittle replicas early as they bear to reject

Callers of brittle replicas were refused while places stood idle: none but half of the slots was used in the first 3.5 s, as the room may shrink then.

The nodes now use half of the slots and half of the rejections that the replica bears before the room may have shrunk: that many it may then reject at once. The places are tried in their turns as before.

--- a/throttle/brittle.go
+++ b/throttle/brittle.go
@@ -22,8 +22,8 @@
 	initialPlaces = 0.5
 	// defaultSlots is assumed of a replica that does not list its slots.
 	defaultSlots = 4
-	// trialsAfter is the time from which places are tried. A replica may have less room from
-	// some seconds after it first says that it is brittle.
+	// trialsAfter is the time from which all places are tried. A replica may have less room
+	// from some seconds after it first says that it is brittle.
 	trialsAfter = 3500 * time.Millisecond
 	// triedShare is the part of the rejections that a replica bears that trials may cause.
 	triedShare = 0.5
@@ -201,12 +201,25 @@
 // mayTry reports whether this node may use one place more than is allowed. Only the first half of
 // a turn counts, as the nodes' turns do not begin at quite the same time.
 func (s *brittleService) mayTry(r *brittleReplica, now time.Time) bool {
-	if r.maxRejections == 0 || now.Sub(s.since) < trialsAfter || r.allowed >= r.share.Of(r.slots) {
+	if r.maxRejections == 0 || r.allowed >= r.share.Of(r.slots) {
 		return false
 	}
 	length := r.turnLength()
 	turn := s.turn(r, now)
-	return turn != r.triedTurn && now.Sub(s.since)%length < length/2 && r.share.Holds(r.placeInTurn(turn))
+	if turn == r.triedTurn || now.Sub(s.since)%length >= length/2 {
+		return false
+	}
+	place := r.placeInTurn(turn)
+	if now.Sub(s.since) < trialsAfter && (place >= r.places() || place < r.initial() && r.allowed >= r.base()) {
+		return false
+	}
+	return r.share.Holds(place)
+}
+
+// places returns the number of places that the nodes may use before the room has shrunk: as many
+// more than the initial ones as the replica bears to reject at that moment.
+func (r *brittleReplica) places() int {
+	return r.initial() + int(triedShare*float64(r.maxRejections))
 }
 
 // recordTaken records that the replica took a request that was sent at the given time.
--- a/throttle/brittle_test.go
+++ b/throttle/brittle_test.go
@@ -247,3 +247,37 @@
 		}
 	}
 }
+
+// Guards against places that stand idle while replicas would bear to reject some requests, and
+// against more of them in use than that when the room shrinks.
+func TestPlacesAreTriedEarlyWithinWhatReplicasBear(t *testing.T) {
+	for rejections, expected := range map[int]int{1: 4, 3: 5, 4: 6, 10: 8} {
+		t.Run(fmt.Sprint("bears ", rejections), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const nodes = 6
+				running := 0
+				begins := make([]func() bool, nodes)
+				for rank := range nodes {
+					node, _, replicas := newService(throttle.Share{
+						Rank:  rank,
+						Nodes: nodes,
+					}, 1)
+					node.Answered(replicas[0], time.Now(), brittle(rejections))
+					begins[rank] = func() bool {
+						begun := node.Begin(replicas[0])
+						node.Answered(replicas[0], time.Now(), brittle(rejections))
+						return begun
+					}
+				}
+				for start := time.Now(); time.Since(start) < 3*time.Second; time.Sleep(20 * time.Millisecond) {
+					for _, begin := range begins {
+						if begin() {
+							running++
+						}
+					}
+				}
+				is.New(t).Equal(running, expected)
+			})
+		})
+	}
+}
