--- a/forward/brittle_test.go
+++ b/forward/brittle_test.go
@@ -208,6 +208,37 @@
 	}
 }
 
+// Guards against nodes that are many more than a replica has places, so that each holds a place at few replicas.
+func TestBrittleReplicasDoNotFailInLargeFleets(t *testing.T) {
+	for _, c := range []brittleCase{
+		{
+			nodes:     91,
+			replicas:  60,
+			slots:     8,
+			perSecond: 240,
+			brittleness: brittleness{
+				rejections: 3,
+				slots:      6,
+			},
+		},
+		{
+			nodes:     195,
+			replicas:  200,
+			slots:     8,
+			perSecond: 800,
+			brittleness: brittleness{
+				rejections: 3,
+				slots:      6,
+			},
+		},
+	} {
+		if testing.Short() && c.nodes > 100 {
+			continue
+		}
+		t.Run(fmt.Sprintf("%d nodes, %d replicas", c.nodes, c.replicas), func(t *testing.T) { c.play(t, 1) })
+	}
+}
+
 // Guards against a flood of those that remain, or that come back, after a third of the replicas is lost.
 func TestBrittleReplicasBearLossOfOthers(t *testing.T) {
 	for seed := uint64(1); seed <= 4; seed++ {
