--- a/forward/brittle_test.go
+++ b/forward/brittle_test.go
@@ -54,6 +54,7 @@
 			slots:    c.slots,
 		}),
 	}
+	w.list(c.unlisted)
 	if c.disturb != nil {
 		time.AfterFunc(disturbedAt, func() { c.disturb(w.fleet) })
 	}
@@ -121,6 +122,8 @@
 	slots     int
 	perSecond int
 	brittleness
+	// unlisted is the number of nodes that are not listed at first.
+	unlisted int
 	// disturb is called at disturbedAt; nil means that nothing happens.
 	disturb func(*fleet)
 }
@@ -274,3 +277,34 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { c.play(t, seed) })
 	}
 }
+
+// Guards against places that two nodes hold, or none, while nodes join or leave.
+func TestBrittleReplicasBearChangesOfNodes(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		for _, change := range []struct {
+			before, after int
+		}{
+			{
+				before: 2,
+				after:  0,
+			},
+			{
+				before: 0,
+				after:  2,
+			},
+		} {
+			c := brittleCase{
+				nodes:     7,
+				slots:     8,
+				perSecond: 30,
+				brittleness: brittleness{
+					rejections: 2,
+					slots:      6,
+				},
+				unlisted: change.before,
+				disturb:  func(f *fleet) { f.list(change.after) },
+			}
+			t.Run(fmt.Sprintf("seed %d, %d to %d nodes", seed, c.nodes-change.before, c.nodes-change.after), func(t *testing.T) { c.play(t, seed) })
+		}
+	}
+}
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -69,6 +69,9 @@
 	// asked for.
 	rest  *resting
 	rests []*restAsked
+	// unlisted is the number of the last nodes that the others do not know and that get no
+	// requests.
+	unlisted int
 	// refused counts the other requests that were held back, and served those with a
 	// whole answer.
 	refused, served, sent int
@@ -259,10 +262,12 @@
 	f.nodes = append(f.nodes, n)
 }
 
-// instances returns all nodes.
+// instances returns all nodes that are listed.
 func (f *fleet) instances() []zinniamast.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var instances []zinniamast.Instance
-	for i := range f.config.nodes {
+	for i := range f.config.nodes - f.unlisted {
 		instances = append(instances, zinniamast.Instance{
 			ID:            fmt.Sprint("node-", i),
 			FailureDomain: fmt.Sprint("domain-", i%fleetDomains),
@@ -300,6 +305,13 @@
 	return ""
 }
 
+// list lets the last nodes join or leave, so that the given number is not listed.
+func (f *fleet) list(unlisted int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unlisted = unlisted
+}
+
 // call sends a request to a random node and reports whether it was held back and whether
 // it got a whole answer.
 func (f *fleet) call(id, content string, duration time.Duration) (heldBack, whole bool) {
@@ -315,7 +327,7 @@
 	request.Header.Set("Zinniamast-Prompt-Prefix", prompt)
 	request.Header.Set("Api-Key", key)
 	f.mu.Lock()
-	n := f.nodes[f.random.IntN(len(f.nodes))]
+	n := f.nodes[f.random.IntN(len(f.nodes)-f.unlisted)]
 	f.mu.Unlock()
 	recorder := httptest.NewRecorder()
 	defer func() {
