Show that the busiest node refuses callers while other nodes' places are idle

Callers of a node that has more than half of all callers are refused while replicas are brittle, although other nodes' places stand idle: its share of the places is fixed.

--- a/forward/brittle_test.go
+++ b/forward/brittle_test.go
@@ -55,6 +55,7 @@
 		}),
 	}
 	w.list(c.unlisted)
+	w.hasBusyNode = c.hasBusyNode
 	if c.disturb != nil {
 		time.AfterFunc(disturbedAt, func() { c.disturb(w.fleet) })
 	}
@@ -122,6 +123,8 @@
 	slots     int
 	perSecond int
 	brittleness
+	// hasBusyNode lets one node get more than half of the requests.
+	hasBusyNode bool
 	// unlisted is the number of nodes that are not listed at first.
 	unlisted int
 	// disturb is called at disturbedAt; nil means that nothing happens.
@@ -308,3 +311,21 @@
 		}
 	}
 }
+
+// Guards against a node with most of the callers that refuses these while other nodes' places stand idle.
+func TestBusiestNodeUsesRoomOfBrittleReplicas(t *testing.T) {
+	for _, perSecond := range []int{20, 40} {
+		for seed := uint64(1); seed <= 2; seed++ {
+			c := brittleCase{
+				slots:     8,
+				perSecond: perSecond,
+				brittleness: brittleness{
+					rejections: 3,
+					slots:      6,
+				},
+				hasBusyNode: true,
+			}
+			t.Run(fmt.Sprintf("%d per second, seed %d", perSecond, seed), func(t *testing.T) { c.play(t, seed) })
+		}
+	}
+}
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -69,6 +69,8 @@
 	// asked for.
 	rest  *resting
 	rests []*restAsked
+	// hasBusyNode lets half of the requests go to the first node, beside its part of the others.
+	hasBusyNode bool
 	// unlisted is the number of the last nodes that the others do not know and that get no
 	// requests.
 	unlisted int
@@ -328,6 +330,9 @@
 	request.Header.Set("Api-Key", key)
 	f.mu.Lock()
 	n := f.nodes[f.random.IntN(len(f.nodes)-f.unlisted)]
+	if f.hasBusyNode && f.random.IntN(2) == 0 {
+		n = f.nodes[0]
+	}
 	f.mu.Unlock()
 	recorder := httptest.NewRecorder()
 	defer func() {
