Name what the turns and the sources of summaries decide

No behaviour changes. What may be tried before the room shrinks, and which source of a summary is preferred, each stand in a function or a constant of their own.

--- a/membership/summary.go
+++ b/membership/summary.go
@@ -23,9 +23,13 @@
 // time, so the other members prefer what these broadcast.
 type summarySource int
 
+// The sources, the preferred one last.
 const (
+	// sourceDirect is a node of the domain that the summary describes.
 	sourceDirect summarySource = iota
+	// sourceMember is a member of this node's domain that sent its full state.
 	sourceMember
+	// sourceRepresentative is a representative of this node's domain that broadcast it.
 	sourceRepresentative
 )
 
@@ -215,15 +219,13 @@
 // supersedes reports whether a summary replaces the present one of a domain; the caller
 // holds the lock.
 func (m *Membership) supersedes(summary Summary, source summarySource, d *domain) bool {
-	isKnown := len(d.summary.Contacts) > 0
-	switch {
-	case isKnown && source > d.source && !m.isRepresentative():
-		return true
-	case isKnown && source < d.source && !m.isRepresentative() && !slices.Equal(summary.Contacts, d.summary.Contacts):
-		return false
-	default:
+	if m.isRepresentative() || len(d.summary.Contacts) == 0 || source == d.source {
 		return summary.Version > d.summary.Version
 	}
+	if source > d.source {
+		return true
+	}
+	return slices.Equal(summary.Contacts, d.summary.Contacts) && summary.Version > d.summary.Version
 }
 
 // mergeContact adds a member of this failure domain that another domain named, if no
--- a/throttle/brittle.go
+++ b/throttle/brittle.go
@@ -210,16 +210,16 @@
 		return false
 	}
 	place := r.placeInTurn(turn)
-	if now.Sub(s.since) < trialsAfter && (place >= r.places() || place < r.initial() && r.allowed >= r.base()) {
-		return false
-	}
-	return r.share.Holds(place)
+	return r.share.Holds(place) && (now.Sub(s.since) >= trialsAfter || r.mayTryEarly(place))
 }
 
-// places returns the number of places that the nodes may use before the room has shrunk: as many
-// more than the initial ones as the replica bears to reject at that moment.
-func (r *brittleReplica) places() int {
-	return r.initial() + int(triedShare*float64(r.maxRejections))
+// mayTryEarly reports whether a place may be tried before the room may have shrunk. The replica
+// may then reject a request for each place that is used beyond its room, all at once.
+func (r *brittleReplica) mayTryEarly(place int) bool {
+	if place < r.initial() {
+		return r.allowed < r.base()
+	}
+	return place < r.initial()+int(triedShare*float64(r.maxRejections))
 }
 
 // recordTaken records that the replica took a request that was sent at the given time.
