--- a/throttle/brittle_test.go
+++ b/throttle/brittle_test.go
@@ -209,8 +209,7 @@
 	})
 }
 
-// Guards against a node that never uses a place again in which a replica rejected a request, and
-// against one that waits longer than all places' turns take.
+// Guards against a node that never uses a place again in which a replica rejected a request.
 func TestEachPlaceHasItsTurn(t *testing.T) {
 	const rejections, allTurns = 3, 22 * time.Second
 	for _, slots := range []int{1, 2, 3, 8, 16} {
@@ -248,8 +247,7 @@
 	}
 }
 
-// Guards against places that stand idle while replicas would bear to reject some requests, and
-// against more of them in use than that when the room shrinks.
+// Guards against more places in use than replicas bear to reject when their room shrinks, or none of these.
 func TestPlacesAreTriedEarlyWithinWhatReplicasBear(t *testing.T) {
 	for rejections, expected := range map[int]int{1: 4, 3: 5, 4: 6, 10: 8} {
 		t.Run(fmt.Sprint("bears ", rejections), func(t *testing.T) {
