--- a/forward/brittle_test.go
+++ b/forward/brittle_test.go
@@ -238,7 +238,7 @@
 			},
 		},
 	} {
-		if testing.Short() && c.nodes > 100 {
+		if testing.Short() && c.nodes > 50 {
 			continue
 		}
 		t.Run(fmt.Sprintf("%d nodes, %d replicas", c.nodes, c.replicas), func(t *testing.T) { c.play(t, 1) })
