Count the answers that one lost replica breaks off as one event

Callers of a service whose good version was being rolled out saw it rolled back at its deadline. Cause: each answer that a crash or reset of one replica broke off counted as a failure of the version, so that one lost replica outweighed all other evidence; and trust that was bought while old replicas failed was never asked for again.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -69,6 +69,8 @@
 	// own are the answers that this node has counted, and longest the longest time of one.
 	own     Slots
 	longest time.Duration
+	// breaks are the latest connections that this node lost, by replica.
+	breaks breaks
 	// nodes are the reports of the nodes of this failure domain, and domains those of all
 	// failure domains.
 	nodes   map[string]receivedNode
@@ -130,6 +132,7 @@
 func (s *service) reset() {
 	s.sealedAt = time.Time{}
 	s.own = Slots{}
+	s.breaks = breaks{}
 	s.nodes = map[string]receivedNode{}
 	s.domains = map[string]receivedDomain{}
 	s.judge = newJudge()
@@ -387,7 +390,14 @@
 		return
 	}
 	isNew := sample.Version == s.order.Version
-	s.own.count(slotOf(at), &sample, isNew)
+	event, isFirst := s.breaks.add(&sample, at)
+	if sample.IsFailed {
+		c.config.Logger.Info("rollout answer failed", "service", s.name, "version", sample.Version, "is_new", isNew,
+			"replica", sample.Replica, "failure", sample.Failure, "took", sample.Took.Round(time.Millisecond), "first_of_event", isFirst)
+	}
+	if isFirst || isNew {
+		s.own.count(event, &sample, isNew, isFirst)
+	}
 	if !isNew && sample.Took > s.longest {
 		s.longest = sample.Took
 	}
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"zinniamast"
 )
 
 const (
@@ -28,6 +30,9 @@
 	MeasureFirst Measure = iota
 	// MeasurePause is the mean pause between the events of a stream.
 	MeasurePause
+	// MeasureBreak is not a duration: its cells count, by replica, the events in which answers
+	// broke off at a node and, in their only bucket, the further answers of these events.
+	MeasureBreak
 )
 
 // Sample is what one send of a request has shown so far. A stream gives up to three: with its
@@ -35,10 +40,13 @@
 type Sample struct {
 	Service       string
 	Route         string
+	Replica       string
 	Version       string
 	FailureDomain string
 	// IsFailed means that the replica's answer was a failure, or that it broke off.
 	IsFailed bool
+	// Failure is the way in which the send failed; empty for an answer with an error status.
+	Failure zinniamast.Failure
 	// First is the time to the first event or to the whole answer, and Pause the mean pause
 	// between events; zero if the sample has none.
 	First time.Duration
@@ -56,16 +64,19 @@
 	Domain  uint32
 	IsNew   bool
 	Measure Measure
+	// Replica is a hash of the replica's ID, with MeasureBreak only.
+	Replica uint32
 }
 
 // compare orders cells.
 func (c Cell) compare(other Cell) int {
-	return cmp.Or(cmp.Compare(c.Route, other.Route), cmp.Compare(c.Domain, other.Domain), cmp.Compare(c.Measure, other.Measure))
+	return cmp.Or(cmp.Compare(c.Route, other.Route), cmp.Compare(c.Domain, other.Domain), cmp.Compare(c.Measure, other.Measure),
+		cmp.Compare(c.Replica, other.Replica))
 }
 
 // Tally counts the answers of a cell.
 type Tally struct {
-	// Failed counts the failed answers, with MeasureFirst only.
+	// Failed counts the failed answers, with MeasureFirst and MeasureBreak only.
 	Failed uint32
 	// Buckets counts the other answers by duration.
 	Buckets map[uint8]uint32
@@ -92,8 +103,10 @@
 // hash32 returns a short hash of a name, which is never zero.
 func hash32(name string) uint32 { return uint32(xxh3.HashString(name)) | 1 }
 
-// count adds a sample to a slot.
-func (s Slots) count(slot int64, sample *Sample, isNew bool) {
+// count adds a sample to the slot of a true time. isFirst is false if the answer broke off in
+// the same event as an earlier one.
+func (s Slots) count(at time.Time, sample *Sample, isNew, isFirst bool) {
+	slot := slotOf(at)
 	if s[slot] == nil {
 		s[slot] = Tallies{}
 	}
@@ -105,6 +118,13 @@
 		cell.Domain = hash32(sample.FailureDomain)
 	}
 	if sample.IsFailed {
+		if isNew && sample.isBreak() {
+			cell.Measure, cell.Replica = MeasureBreak, hash32(sample.Replica)
+			if !isFirst {
+				s[slot].addDuration(cell, 0, 1)
+				return
+			}
+		}
 		s[slot].addFailed(cell, 1)
 		return
 	}
--- a/canary/exchange.go
+++ b/canary/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"time"
+
+	"zinniamast"
 )
 
 // The counts of all nodes travel with the load reports: each node sends its own to the
@@ -326,6 +328,10 @@
 	IsCondemned bool
 	// Doubts are what keeps the new version back.
 	Doubts Doubts
+	// Usual, IsDisturbed and Renewals are those of the finding.
+	Usual       []zinniamast.RouteFailures
+	IsDisturbed bool
+	Renewals    int
 	// Standing is the sum over the failure domains; IsComplete means that those asked for
 	// have all reported lately, about this grant.
 	Standing   Standing
@@ -337,7 +343,8 @@
 // evidence returns what is logged of the answers.
 func (s *Status) evidence() slog.Attr {
 	return slog.Group("", "log_ratio", s.LogRatio, "doubt_failures", s.Doubts.Failures, "doubt_slow", s.Doubts.Slow,
-		"answers", s.Answers, "all_answers", s.AllAnswers)
+		"answers", s.Answers, "all_answers", s.AllAnswers,
+		"old_fail", s.IsDisturbed, "renewals", s.Renewals)
 }
 
 // Status returns what this node knows of the rollout of a service, where the reports of the
@@ -359,6 +366,9 @@
 		Rate:        found.rate(slotOf(c.config.TrueTime())),
 		IsCondemned: s.condemned[s.order.Version],
 		Doubts:      found.Doubts,
+		Usual:       found.Usual,
+		IsDisturbed: found.IsDisturbed,
+		Renewals:    found.Renewals,
 		IsComplete:  true,
 	}
 	for _, domain := range expected {
--- a/canary/grant.go
+++ b/canary/grant.go
@@ -27,6 +27,9 @@
 	// they speak for it. A later leader may know only a part of them.
 	Answers   float64 `json:"answers,omitempty"`
 	IsTrusted bool    `json:"trusted,omitempty"`
+	// Usual are the old versions' rates of failures while they were healthy, for a time after a
+	// takeover: nodes that have started since know only later ones.
+	Usual []zinniamast.RouteFailures `json:"usual,omitempty"`
 	// IsSealed means that no request may go to an old version any more.
 	IsSealed bool                    `json:"sealed,omitempty"`
 	State    zinniamast.RolloutState `json:"state"`
@@ -126,6 +129,9 @@
 			Revision: grant.Order,
 		})
 	}
+	if grant.Order == s.order.Revision {
+		s.judge.restore(grant.Usual)
+	}
 	if !grant.supersedes(&s.grant) {
 		return
 	}
@@ -154,6 +160,7 @@
 		Service:   record.Service,
 		Version:   record.Version,
 		Order:     record.Order,
+		Usual:     record.Usual,
 		State:     record.State,
 		Condemned: record.Condemned,
 		Abandoned: record.Abandoned,
--- a/canary/leader.go
+++ b/canary/leader.go
@@ -51,6 +51,8 @@
 	// recordedExposure is the part of the permitted exposure after which the answers of the
 	// new version are recorded again.
 	recordedExposure = 0.1
+	// usualToldTime is how long a new leader tells the usual rates that an earlier one knew.
+	usualToldTime = 8 * time.Second
 )
 
 // Leader decides how far each rollout is while this node holds the lease. Each state is
@@ -88,6 +90,8 @@
 	inheritedAnswers float64
 	ownBefore        float64
 	wasTrusted       bool
+	// inheritedUsual are the usual rates that an earlier leader knew.
+	inheritedUsual []zinniamast.RouteFailures
 }
 
 // NewLeader returns a leader; Run starts it.
@@ -219,7 +223,7 @@
 	status := l.config.Canary.Status(order.Service, nil)
 	grant := status.Grant
 	state.inheritedAnswers, state.ownBefore = record.Answers, status.OwnAnswers
-	state.wasTrusted = record.IsTrusted
+	state.wasTrusted, state.inheritedUsual = record.IsTrusted, record.Usual
 	if grant.Order != order.Revision || grant.State.IsFinal() {
 		return
 	}
@@ -266,7 +270,7 @@
 		next.Abandoned = appendVersion(record.Abandoned, record.Version)
 	}
 	next.Abandoned = slices.DeleteFunc(slices.Clone(next.Abandoned), func(v string) bool { return v == order.Version })
-	next.Version, next.Answers, next.IsTrusted = order.Version, 0, false
+	next.Version, next.Answers, next.IsTrusted, next.Usual = order.Version, 0, false, nil
 	next.Started = l.config.TrueTime()
 	next.State = zinniamast.RolloutInProgress
 	if slices.Contains(record.Condemned, order.Version) || l.config.Canary.Status(order.Service, nil).IsCondemned {
@@ -285,6 +289,10 @@
 	defer cancel()
 	record.Leader, record.Fence = l.config.Node, l.fence
 	status := l.config.Canary.Status(record.Service, nil)
+	isTold := len(state.inheritedUsual) == 0 || l.config.Now().Sub(state.firstAt) > usualToldTime
+	if len(status.Usual) > 0 && record.Order == state.order && isTold {
+		record.Usual = status.Usual
+	}
 	revision, err := l.config.Rollouts.WriteRollout(ctx, record)
 	l.config.Logger.Info("rollout state written", "service", record.Service, "version", record.Version, "state", record.State, "order", record.Order,
 		"stage", state.stage, status.evidence(), "cause", err)
@@ -323,6 +331,11 @@
 		l.write(ctx, state, record)
 		return
 	}
+	if s.stage < stageWhole && s.mustBeRecorded(&record) {
+		record.IsTrusted = s.isTrusted
+		l.write(ctx, state, record)
+		return
+	}
 	next := s.next()
 	if next == stageDone {
 		record.State = zinniamast.RolloutCompleted
@@ -362,7 +375,7 @@
 		exposureSlack: l.config.ExposureSlack,
 	}
 	s.answers = state.answers(&s.status, now)
-	if s.status.Doubts.isTrusted() || s.status.Doubts.isDoubted() {
+	if s.status.Doubts.isTrusted() || s.status.Doubts.isDoubted() || s.status.Renewals > 0 {
 		state.wasTrusted = false
 	}
 	s.isTrusted = s.status.Doubts.isTrusted() || state.wasTrusted
@@ -393,7 +406,8 @@
 // answers returns the number of the new version's answers, those before a takeover included.
 func (l *led) answers(status *Status, now time.Time) float64 {
 	if now.Sub(l.firstAt) <= handoverTime && status.Answers >= handedOver*l.inheritedAnswers {
-		l.inheritedAnswers = 0
+		// Beside failing old replicas, the finding says whether the version is trusted.
+		l.inheritedAnswers, l.wasTrusted = 0, l.wasTrusted && !status.IsDisturbed
 	}
 	if l.inheritedAnswers == 0 {
 		return status.Answers
@@ -405,6 +419,10 @@
 func (l *Leader) tell(state *led, record zinniamast.RolloutRecord, s *situation) {
 	state.step++
 	state.toldAt = s.now
+	var usual []zinniamast.RouteFailures
+	if s.now.Sub(state.firstAt) <= usualToldTime {
+		usual = state.inheritedUsual
+	}
 	l.config.Canary.Publish(Grant{
 		Service:   record.Service,
 		Version:   record.Version,
@@ -416,6 +434,7 @@
 		Turn:      int(s.now.Sub(state.firstAt) / trialTurn),
 		Answers:   s.answers,
 		IsTrusted: s.isTrusted,
+		Usual:     usual,
 		IsSealed:  state.stage >= stageSealed,
 		State:     record.State,
 		Condemned: record.Condemned,
--- a/canary/plan.go
+++ b/canary/plan.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"zinniamast"
 )
 
 // stage is a step of a rollout. A rollout goes through the stages in their order, and back
@@ -41,6 +43,9 @@
 	// for it but are too few to trust it.
 	doubtedFraction   = 0.36
 	undecidedFraction = 0.46
+	// disturbedFraction is the part that it may use while the answers speak against the new
+	// version and old replicas fail too: the rest shows more once they have recovered.
+	disturbedFraction = 0.24
 	// maxTrialShare bounds the share where there are few requests, and minTrialShare keeps
 	// some answers coming once the exposure is used.
 	maxTrialShare = 0.2
@@ -114,6 +119,20 @@
 	return s.status.LogRatio < suspectLog && (s.isTrusted || s.idleFor >= idleAfter)
 }
 
+// mayGoOn reports whether the answers allow the stage after one beyond the trial. Trust is asked
+// for again if old replicas have failed.
+func (s *situation) mayGoOn() bool {
+	hasFailing := s.status.IsDisturbed || s.status.Renewals > 0
+	return !hasFailing || s.mayRise()
+}
+
+// mustBeRecorded reports whether a leader that starts after the loss of all nodes would go on
+// with trust that the version has lost, or could not know how often old replicas usually fail.
+func (s *situation) mustBeRecorded(record *zinniamast.RolloutRecord) bool {
+	isWithdrawn := record.IsTrusted && !s.isTrusted && s.status.Renewals > 0
+	return isWithdrawn || s.status.IsDisturbed && len(record.Usual) == 0 && len(s.status.Usual) > 0
+}
+
 // next returns the stage that follows.
 func (s *situation) next() stage {
 	elapsed := s.now.Sub(s.since)
@@ -135,7 +154,7 @@
 		if s.mustFall() {
 			return stageTrial
 		}
-		if elapsed >= hold && s.hasAnswered() && s.newReady >= s.replicas(s.stage+1) {
+		if elapsed >= hold && s.mayGoOn() && s.hasAnswered() && s.newReady >= s.replicas(s.stage+1) {
 			return s.stage + 1
 		}
 	case stageWhole:
@@ -200,6 +219,8 @@
 	span := s.shiftAt().Sub(s.now)
 	switch elapsed := s.now.Sub(s.since); {
 	case s.isTrusted:
+	case s.status.IsDisturbed && s.status.Doubts.isDoubted():
+		left = disturbedFraction*exposure - s.answers
 	case elapsed < openingTime:
 		left = openingFraction*trialFraction*exposure - s.answers
 		span = openingTime - elapsed
--- a/forward/rollout.go
+++ b/forward/rollout.go
@@ -59,7 +59,7 @@
 	case failure == nil:
 		sample.IsFailed = s.response.StatusCode >= http.StatusInternalServerError
 	case isVersionFailure(failure.Failure):
-		sample.IsFailed = true
+		sample.IsFailed, sample.Failure = true, failure.Failure
 	case !s.began.IsZero():
 	case failure.Failure == zinniamast.FailureTimeout, failure.Failure == zinniamast.FailureStopped && sample.Took > c.route.Target:
 		// No answer in this time: it would have taken longer.
@@ -75,6 +75,7 @@
 	return canary.Sample{
 		Service:       c.service,
 		Route:         c.route.Name,
+		Replica:       s.upstream.Instance.ID,
 		Version:       s.upstream.Instance.Version,
 		FailureDomain: s.upstream.Instance.FailureDomain,
 	}
--- a/forward/rollout_test.go
+++ b/forward/rollout_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"zinniamast"
 	"zinniamast/canary"
 	"zinniamast/forward"
 	"zinniamast/nearest"
@@ -146,3 +147,27 @@
 	f.is.True(pauses[0] >= gap/2)
 	f.is.True(endsAfterPause)
 }
+
+// Guards against answers that break off and are not told from failures of the version, because neither the replica nor the kind of failure is known.
+func TestAnswerThatBreaksOffNamesItsReplica(t *testing.T) {
+	f := newFixture(t, 2)
+	f.replicas[0].SetBehaviour(replica.Behaviour{
+		Reset: true,
+	})
+	rollouts := &scriptedRollouts{
+		trial: []string{f.replicas[0].ID},
+	}
+	f.useRollouts(rollouts)
+	f.is.Equal(f.do(f.request(http.MethodGet, pathSafe, "")).status, http.StatusOK)
+	rollouts.mu.Lock()
+	defer rollouts.mu.Unlock()
+	failures := map[string]zinniamast.Failure{}
+	for _, sample := range rollouts.samples {
+		if sample.IsFailed {
+			failures[sample.Replica] = sample.Failure
+		}
+	}
+	f.is.Equal(failures, map[string]zinniamast.Failure{
+		f.replicas[0].ID: zinniamast.FailureReset,
+	})
+}
--- a/rollout.go
+++ b/rollout.go
@@ -49,6 +49,8 @@
 	Answers float64
 	// IsTrusted reports whether they spoke for the version.
 	IsTrusted bool
+	// Usual are the old versions' failures by route while they were healthy.
+	Usual []RouteFailures
 	// Condemned lists the versions that proved bad, the latest one last, and Abandoned those
 	// whose rollouts ended before it was known whether they are good.
 	Condemned []string
@@ -57,6 +59,14 @@
 	Revision uint64
 }
 
+// RouteFailures counts the answers of a route and the failed ones among them.
+type RouteFailures struct {
+	// Route is a hash of the route's name.
+	Route   uint32  `json:"route"`
+	Answers float64 `json:"answers"`
+	Failed  float64 `json:"failed"`
+}
+
 // Rollouts keeps the records of rollouts and tells operators their states.
 type Rollouts interface {
 	// ReadRollouts returns the records of all services.
