Bound the work of an instance that grew with the fleet

Callers of a fleet of 300 instances waited 30 s after all were killed. Causes: instances that start asked three peers at a time for whole lists, full states were asked of every member, heartbeats were decoded by each reader, woke each peer and scanned all entries.

A gain in processor time of whole nodes or in the time until they serve is not shown.

--- a/blackboard/members.go
+++ b/blackboard/members.go
@@ -1,7 +1,6 @@
 package blackboard
 
 import (
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -43,7 +42,7 @@
 // NewMembers returns an empty table.
 func NewMembers() *Members {
 	m := &Members{members: map[string]Member{}}
-	m.publish()
+	m.snapshot.Store(&[]Member{})
 	return m
 }
 
@@ -86,7 +85,7 @@
 		return false
 	}
 	m.members[id] = member
-	m.publish()
+	m.publish(member)
 	return true
 }
 
@@ -95,13 +94,29 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.members, id)
-	m.publish()
+	all := m.All()
+	if at, ok := find(all, id); ok {
+		all = slices.Concat(all[:at], all[at+1:])
+		m.snapshot.Store(&all)
+	}
 }
 
-// publish replaces the readers' snapshot; the caller holds the lock.
-func (m *Members) publish() {
-	all := slices.SortedFunc(maps.Values(m.members), func(a, b Member) int {
-		return strings.Compare(a.ID, b.ID)
-	})
+// publish replaces the readers' snapshot by one with another state of a member; the caller
+// holds the lock. Most changes are times of contact, several a second for each member, so
+// that the members are not sorted again for each.
+func (m *Members) publish(member Member) {
+	known := m.All()
+	at, ok := find(known, member.ID)
+	all := make([]Member, 0, len(known)+1)
+	all = append(append(all, known[:at]...), member)
+	if ok {
+		at++
+	}
+	all = append(all, known[at:]...)
 	m.snapshot.Store(&all)
 }
+
+// find returns the place of a member in a list ordered by ID, and whether it is there.
+func find(all []Member, id string) (int, bool) {
+	return slices.BinarySearchFunc(all, id, func(m Member, id string) int { return strings.Compare(m.ID, id) })
+}
--- a/blackboard/upstreams.go
+++ b/blackboard/upstreams.go
@@ -108,6 +108,22 @@
 // included. The slice is shared and must not be modified.
 func (u *Upstreams) Of(service string) []*Upstream { return (*u.services.Load())[service] }
 
+// Slots returns the number of requests that the replicas of a service run at once, without leaving
+// ones; zero if that of any is unknown.
+func (u *Upstreams) Slots(service string) int {
+	slots := 0
+	for _, upstream := range u.Of(service) {
+		switch {
+		case upstream.Leaving():
+		case upstream.Slots == 0:
+			return 0
+		default:
+			slots += upstream.Slots
+		}
+	}
+	return slots
+}
+
 // All returns every replica.
 func (u *Upstreams) All() []*Upstream {
 	u.mu.Lock()
--- a/entry/peerclient.go
+++ b/entry/peerclient.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"context"
 	"errors"
+	"iter"
 	"slices"
 	"time"
 
-	"zinniamast/blackboard"
 	"zinniamast/registry"
 	"zinniamast/reports"
 	"zinniamast/roster"
@@ -65,37 +65,58 @@
 // empty, that is this node. Nodes with different views of the membership may use
 // different readers for a moment, which is safe.
 func (e *Entry) readers() []peerClient {
-	s := e.config.Settings
-	own := roster.Rank(s.Instance)
-	var above []blackboard.Member
-	for _, member := range e.board.Members.All() {
-		if member.Dead || member.Leaving || member.Address == "" || member.FailureDomain != s.FailureDomain {
-			continue
-		}
-		if roster.Rank(member.ID) > own {
-			above = append(above, member)
-		}
+	type ranked struct {
+		rank    uint64
+		address string
 	}
-	slices.SortFunc(above, func(a, b blackboard.Member) int {
-		return cmp.Compare(roster.Rank(b.ID), roster.Rank(a.ID))
-	})
+	var above []ranked
+	for rank, address := range e.higherRanked() {
+		above = append(above, ranked{
+			rank:    rank,
+			address: address,
+		})
+	}
+	slices.SortFunc(above, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	clients := make([]peerClient, len(above))
 	for i, member := range above {
 		clients[i] = peerClient{
 			entry:   e,
-			address: member.Address,
+			address: member.address,
 		}
 	}
 	return clients
 }
 
-// reader returns the first of the readers. False means this node.
+// higherRanked returns the ranks and addresses of the live nodes of this failure domain that
+// rank above this one, in no order.
+func (e *Entry) higherRanked() iter.Seq2[uint64, string] {
+	s := e.config.Settings
+	own := roster.Rank(s.Instance)
+	return func(yield func(uint64, string) bool) {
+		for _, member := range e.board.Members.All() {
+			if member.Dead || member.Leaving || member.Address == "" || member.FailureDomain != s.FailureDomain {
+				continue
+			}
+			if rank := roster.Rank(member.ID); rank > own && !yield(rank, member.Address) {
+				return
+			}
+		}
+	}
+}
+
+// reader returns the first of the readers. False means this node. It is asked before each
+// query for load reports.
 func (e *Entry) reader() (peerClient, bool) {
-	readers := e.readers()
-	if len(readers) == 0 {
-		return peerClient{}, false
+	highest := uint64(0)
+	reader := peerClient{
+		entry: e,
+	}
+	for rank, address := range e.higherRanked() {
+		if rank > highest {
+			highest, reader.address = rank, address
+		}
 	}
-	return readers[0], true
+	return reader, highest > 0
 }
 
 // storeReaders returns the readers as registry.Peers.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"zinniamast/canary"
@@ -127,35 +126,47 @@
 	return nil
 }
 
+// KnowsReplicas reports whether Known returns the replicas.
+func (r *Relay) KnowsReplicas(_ struct{}, reply *bool) error {
+	*reply = r.follower.KnowsReplicas()
+	return nil
+}
+
 const (
-	// fetchInterval is how often a node that is not ready queries its peers.
+	// fetchInterval is how often a starting node queries its peers for the rollouts, and
+	// fetchTimeout bounds one such query. Querying another peer is quicker than waiting for
+	// one that is about to stop.
 	fetchInterval = 200 * time.Millisecond
-	// fetchTimeout bounds one such query. Querying another peer is quicker than
-	// waiting for one that is about to stop.
-	fetchTimeout = 500 * time.Millisecond
-	// maxConcurrentFetches bounds the peers that are queried concurrently: each answer
-	// lists all replicas, and a large fleet has hundreds of peers.
+	fetchTimeout  = 500 * time.Millisecond
+	// maxConcurrentFetches bounds the peers that are queried at one time.
 	maxConcurrentFetches = 3
 )
 
-// fetchReplicas queries a few peers concurrently for the replicas until this node knows
-// them. During a rolling restart while the store is unavailable, a starting instance
-// gets the configuration from a peer at once and receives requests. If it queried one
-// peer after another, some of which have just stopped, it would refuse all requests
-// for about a second and a half.
-func (e *Entry) fetchReplicas(ctx context.Context) {
-	for !e.follower.Ready() {
-		var fetches sync.WaitGroup
-		for _, address := range e.randomPeers() {
-			fetches.Go(func() { e.fetchReplicasFrom(ctx, address) })
-		}
-		fetches.Wait()
-		select {
-		case <-time.After(fetchInterval):
-		case <-ctx.Done():
-			return
-		}
+// buildSeeder builds the seeder of the replicas from peers.
+func (e *Entry) buildSeeder() {
+	e.seeder = registry.NewSeeder(registry.SeederConfig{
+		Follower: e.follower,
+		Peers:    e.randomPeers,
+		Knows:    e.askForReplicas,
+		Fetch: func(ctx context.Context, address string) (registry.ReplicaChanges, error) {
+			var known registry.ReplicaChanges
+			err := e.peerPool.Call(ctx, address, relayName+".Known", struct{}{}, &known)
+			return known, err
+		},
+		Logger: e.config.Logger,
+	})
+}
+
+// askForReplicas asks a peer whether it knows the replicas. A peer of an earlier version of
+// the program that answers without knowing the question is taken for one that does.
+func (e *Entry) askForReplicas(ctx context.Context, address string) (bool, error) {
+	var knows bool
+	err := e.peerPool.Call(ctx, address, relayName+".KnowsReplicas", struct{}{}, &knows)
+	var remote *peer.RemoteError
+	if errors.As(err, &remote) {
+		return true, nil
 	}
+	return knows, err
 }
 
 // randomPeers returns the addresses of a few live peers, chosen at random.
@@ -170,23 +181,16 @@
 	return addresses[:min(len(addresses), maxConcurrentFetches)]
 }
 
-// fetchReplicasFrom fetches the replicas from one peer.
-func (e *Entry) fetchReplicasFrom(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	var known registry.ReplicaChanges
-	if err := e.peerPool.Call(ctx, address, relayName+".Known", struct{}{}, &known); err != nil {
-		e.config.Logger.Debug("failed to fetch replicas from peer", "peer", address, "cause", err)
+// fetchConfig fetches the configuration from a peer that announces a newer one. Every message
+// of such a peer announces it, so that the fetches in progress are bounded.
+func (e *Entry) fetchConfig(address string, version uint64) {
+	select {
+	case e.configFetches <- struct{}{}:
+	default:
 		return
 	}
-	if !e.follower.Ready() {
-		e.follower.Seed(known)
-	}
-}
-
-// fetchConfig fetches the configuration from a peer that announces a newer one.
-func (e *Entry) fetchConfig(address string, version uint64) {
 	go func() {
+		defer func() { <-e.configFetches }()
 		ctx, cancel := context.WithTimeout(context.Background(), relayTimeout)
 		defer cancel()
 		var config routes.Config
@@ -197,9 +201,7 @@
 		if config.Version > 0 && e.routes.Apply(&config) {
 			e.config.Logger.Info("applied configuration from peer", "version", config.Version, "peer", address, "announced", version)
 		}
-		if !e.follower.Ready() {
-			e.fetchReplicasFrom(ctx, address)
-		}
+		e.seeder.FetchFrom(ctx, address)
 		if len(e.roster.Instances()) == 0 {
 			e.fetchRoster(ctx, address)
 		}
--- a/handoff/handoff_test.go
+++ b/handoff/handoff_test.go
@@ -19,6 +19,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"zinniamast"
 	"zinniamast/blackboard"
 	"zinniamast/caller"
 	"zinniamast/handoff"
@@ -239,12 +240,7 @@
 			})
 		}
 		group.Go(func() {
-			reader, refusal := nodes[5].exchange.Enter(ctx, caller.Query{
-				ID:           "again",
-				Organisation: "north",
-				Key:          "key-r3",
-				Fingerprint:  7,
-			})
+			reader, refusal := repeatKey(ctx, nodes[5], "key-r3")
 			is.Equal(refusal, nil)
 			is.True(reader != nil) // attached to the running request, not run a second time
 			text, err := readAnswer(ctx, nodes[5], reader, "", 0)
@@ -257,6 +253,66 @@
 	})
 }
 
+// repeatKey sends a key to a node again as the caller package does: the node's own requests
+// come first, then the directory.
+func repeatKey(ctx context.Context, node *testNode, key string) (request.Reader, *zinniamast.Refusal) {
+	q := request.New(request.Call{
+		ID:           "again",
+		Organisation: "north",
+		Key:          key,
+		Fingerprint:  7,
+		Deadline:     time.Now().Add(time.Minute),
+	})
+	if known, added := node.board.Requests.Add(q); !added {
+		return known.Watch(0), nil
+	}
+	reader, refusal := node.exchange.Enter(ctx, caller.Query{
+		ID:           q.Call.ID,
+		Organisation: q.Call.Organisation,
+		Key:          q.Call.Key,
+		Fingerprint:  q.Call.Fingerprint,
+	})
+	if reader != nil || refusal != nil {
+		node.board.Requests.Remove(q)
+	}
+	return reader, refusal
+}
+
+// Guards against a request that runs twice because its key is repeated at the node that took it over, or at another one.
+func TestRepeatedKeyIsAttachedAfterHandOff(t *testing.T) {
+	for taker := 1; taker < 6; taker++ {
+		for _, wait := range []time.Duration{0, 10 * time.Millisecond} {
+			t.Run(fmt.Sprint("taker ", taker, " after ", wait), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					ctx, cancel := context.WithCancel(t.Context())
+					_, nodes := newFleet(ctx, 6, 50)
+					for i, node := range nodes {
+						node.stopping = i != taker
+					}
+					q := addRunning(nodes[0], "r3", 3)
+					nodes[0].exchange.Enter(ctx, caller.Query{
+						ID:           q.Call.ID,
+						Organisation: "north",
+						Key:          q.Call.Key,
+						Fingerprint:  7,
+					})
+					is.Equal(nodes[0].exchange.HandOff(ctx, time.Time{}), 0)
+					time.Sleep(wait)
+					reader, refusal := repeatKey(ctx, nodes[5], q.Call.Key)
+					is.Equal(refusal, nil)
+					is.True(reader != nil)
+					text, err := readAnswer(ctx, nodes[5], reader, "", 0)
+					is.NoErr(err)
+					is.Equal(text, answerText(50))
+					cancel()
+					time.Sleep(time.Minute)
+				})
+			})
+		}
+	}
+}
+
 // The leaving node dies between the acknowledgement of Hold and the Start call.
 // The holder starts from its copy when the lease expires. A caller that has
 // received more tokens than the copy has gets ErrLost, since tokens produced
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -32,18 +32,33 @@
 	}
 }
 
-// startExchange starts an exchange with a member unless one is in flight; the caller
-// holds the lock.
+// shouldAsk reports whether an exchange with a member asks for its full state; the caller holds
+// the lock. Of the members that are not suspected, a few are asked in each heartbeatInterval:
+// answers have up to maxGossipPerMessage items, and a node that was paused, as happens to all
+// when all start on busy machines, exchanges messages with its whole failure domain at once.
+func (m *Membership) shouldAsk(p *member) bool {
+	if !m.lacksGossip || !p.suspectedAt.IsZero() || !p.alive() {
+		return m.lacksGossip
+	}
+	if now := time.Now(); now.Sub(m.askedAt) >= heartbeatInterval {
+		m.asks, m.askedAt = 0, now
+	}
+	m.asks++
+	return m.asks <= monitoredSuccessors
+}
+
+// startExchange starts an exchange with a member unless the answer to an earlier one may
+// still arrive soon; the caller holds the lock.
 func (m *Membership) startExchange(ctx context.Context, p *member) {
-	if p.inFlight {
+	now := time.Now()
+	if !m.mayStart(&p.attempts, now) {
 		return
 	}
-	p.inFlight = true
-	p.sentAt = time.Now()
 	taken := p.outbox.takeBatch(&m.gossip, &m.bulkBudgetBytes)
+	number := p.start(now, taken)
 	message := m.newExchange()
 	message.Digest = m.digest()
-	message.Want = m.lacksGossip
+	message.Want = m.shouldAsk(p)
 	m.fillMessage(message, taken)
 	address := p.record.Address
 	m.wait.Add(1)
@@ -52,24 +67,29 @@
 		ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		defer cancel()
 		answer, err := m.config.Transport.Exchange(ctx, address, message)
-		m.finishExchange(ctx, p, message.Want, taken, answer, err)
+		m.finishExchange(ctx, p, number, message.Want, taken, answer, err)
 	}()
 }
 
 // finishExchange handles the result of an exchange with a member.
-func (m *Membership) finishExchange(ctx context.Context, p *member, wanted bool, taken batch, answer *Exchange, err error) {
+func (m *Membership) finishExchange(ctx context.Context, p *member, number int, wanted bool, taken batch, answer *Exchange, err error) {
 	m.mu.Lock()
-	p.inFlight = false
 	// The address may have been reused by another process, whose answer does not come
 	// from the member.
 	if err != nil || answer.From != p.record.ID {
+		lost, isLast := p.failed(number)
 		if p.alive() {
-			p.outbox.requeue(taken)
+			p.outbox.requeue(lost)
+		}
+		if isLast {
+			m.suspect(ctx, p)
 		}
-		m.suspect(ctx, p)
 		m.mu.Unlock()
 		return
 	}
+	for _, lost := range p.answered(number) {
+		p.outbox.restore(lost)
+	}
 	for i, key := range taken.gossip {
 		if m.gossip.sequence(key) > taken.sequences[i] {
 			p.outbox.addGossip(key, urgentTopics[key.topic])
--- a/membership/member.go
+++ b/membership/member.go
@@ -15,9 +15,7 @@
 	// ringHash is the position on the hash ring.
 	ringHash uint64
 	outbox   outbox
-	// inFlight means that an exchange started at sentAt has not finished.
-	inFlight bool
-	sentAt   time.Time
+	attempts
 	// suspectedAt is when the unanswered exchange began; zero if not suspected.
 	suspectedAt time.Time
 	// probing means that an indirect probe is running; unreachable that the last one
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -94,6 +94,9 @@
 	// lacksGossip means that this node was cut off or paused and may have missed items that
 	// are published only once. It asks the next member that it reaches for them.
 	lacksGossip bool
+	// asks counts the members that were asked for it since askedAt, see shouldAsk.
+	asks    int
+	askedAt time.Time
 
 	heartbeatAt time.Time
 	summaryAt   time.Time
@@ -101,6 +104,9 @@
 	seedAt      time.Time
 	tableAt     time.Time
 	stepAt      time.Time
+	// retriesLeft is the number of exchanges that may start beside unanswered ones until the next
+	// heartbeat.
+	retriesLeft int
 	// bulkBudgetBytes is the number of bytes of bulk gossip that may be sent now.
 	bulkBudgetBytes int
 
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -34,12 +34,19 @@
 	// cut drops messages from the first node to the second.
 	cut map[[2]string]bool
 	// paused blocks messages from and to a node until the channel closes.
-	paused   map[string]chan struct{}
+	paused map[string]chan struct{}
+	// refused makes messages from a node fail at once.
+	refused  map[string]bool
 	lossRate float64
 	random   *rand.Rand
 	sizes    *messageSizer
 	bytes    map[string]int
 	messages map[string]int
+	// exchanges and probes count what was started, by sender and receiver.
+	exchanges map[[2]string]int
+	probes    map[[2]string]int
+	// asks counts the messages of a node that ask for the full state of another.
+	asks map[string]int
 	// listedFrom is when the instance list, which is shared by all nodes, begins to
 	// include nodes outside the first domain; zero means that there is no list.
 	listedFrom time.Time
@@ -83,10 +90,14 @@
 		extraDelay: map[string]time.Duration{},
 		cut:        map[[2]string]bool{},
 		paused:     map[string]chan struct{}{},
+		refused:    map[string]bool{},
+		exchanges:  map[[2]string]int{},
+		probes:     map[[2]string]int{},
 		random:     rand.New(rand.NewPCG(1, 2)),
 		sizes:      newMessageSizer(),
 		bytes:      map[string]int{},
 		messages:   map[string]int{},
+		asks:       map[string]int{},
 	}
 }
 
@@ -186,7 +197,11 @@
 	n.bytes[from] += size
 	n.bytes[to] += size
 	n.messages[from]++
+	refused := n.refused[from]
 	n.mu.Unlock()
+	if refused {
+		return nil, errNetwork
+	}
 	if lost {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -222,6 +237,10 @@
 
 // Exchange implements membership.Transport.
 func (p nodeTransport) Exchange(ctx context.Context, address string, message *membership.Exchange) (*membership.Exchange, error) {
+	p.network.update(func() { p.network.exchanges[[2]string{p.id, address}]++ })
+	if message.Want {
+		p.network.update(func() { p.network.asks[p.id]++ })
+	}
 	receiver, err := p.network.deliver(ctx, p.id, address, p.network.sizes.of(message))
 	if err != nil {
 		return nil, err
@@ -233,6 +252,7 @@
 
 // Probe implements membership.Transport.
 func (p nodeTransport) Probe(ctx context.Context, address string, probe membership.Probe) (membership.ProbeResult, error) {
+	p.network.update(func() { p.network.probes[[2]string{p.id, address}]++ })
 	receiver, err := p.network.deliver(ctx, p.id, address, framingBytes+32)
 	if err != nil {
 		return membership.ProbeResult{}, err
--- a/membership/outbox.go
+++ b/membership/outbox.go
@@ -70,6 +70,16 @@
 	return taken
 }
 
+// restore queues lost data again for a receiver that answers.
+func (o *outbox) restore(lost batch) {
+	for _, id := range lost.records {
+		o.addRecord(id)
+	}
+	for _, key := range lost.gossip {
+		o.addGossip(key, urgentTopics[key.topic])
+	}
+}
+
 // requeue queues undelivered data again. The data is no longer urgent: the receiver is
 // slow or dead and gets it with the next heartbeat or bulk message.
 func (o *outbox) requeue(taken batch) {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -122,7 +122,7 @@
 		if !p.alive() {
 			continue
 		}
-		if p.inFlight && now.Sub(p.sentAt) >= probeTimeout {
+		if p.waiting() && now.Sub(p.waitingSince) >= probeTimeout {
 			m.suspect(ctx, p)
 		}
 		if p.suspectedAt.IsZero() || !p.unreachable || now.Sub(p.suspectedAt) < p.suspicionTimeout(now) {
@@ -150,5 +150,8 @@
 	for _, p := range m.members {
 		p.clearSuspicion()
 		p.sentAt = now
+		if p.waiting() {
+			p.waitingSince = now
+		}
 	}
 }
--- a/membership/rejoin_test.go
+++ b/membership/rejoin_test.go
@@ -56,6 +56,37 @@
 	}
 }
 
+// Guards against a node that was paused and receives the full state of each member of its failure domain.
+func TestNodeAsksFewMembersForMissedItems(t *testing.T) {
+	for _, members := range []int{8, 25, 75} {
+		t.Run(fmt.Sprint(members, " members"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newNetwork()
+				nodes := n.fleet(t, members, 1)
+				denied := nodes[members/2]
+				own, _ := denied.table.Get(denied.id)
+				n.update(func() { clear(n.asks) })
+				denied.Receive(&membership.Exchange{
+					From: nodes[0].id,
+					Records: []membership.Record{{
+						ID:          denied.id,
+						Address:     denied.id,
+						Incarnation: own.Incarnation,
+						Weight:      1,
+						State:       membership.Dead,
+					}},
+				})
+				time.Sleep(contactTime)
+				n.update(func() {
+					is.True(n.asks[denied.id] >= 1)
+					is.True(n.asks[denied.id] <= 2)
+				})
+			})
+		})
+	}
+}
+
 // Guards against a node that keeps an outdated list of another failure domain's contacts for minutes.
 func TestOutdatedContactsAreReplaced(t *testing.T) {
 	const perDomain = 3
--- a/membership/spread_test.go
+++ b/membership/spread_test.go
@@ -149,6 +149,6 @@
 		late := n.start(t, "late", nodes[1].domain, nodes[1].id)
 		late.Subscribe(zinniamast.TopicQuarantine, func(zinniamast.GossipItem) { n.update(func() { received++ }) })
 		time.Sleep(20 * time.Second)
-		is.New(t).Equal(received, 1)
+		n.update(func() { is.New(t).Equal(received, 1) })
 	})
 }
--- a/membership/step.go
+++ b/membership/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -79,6 +80,7 @@
 
 // sendHeartbeats sends heartbeats to the monitored successors and to suspected members.
 func (m *Membership) sendHeartbeats(ctx context.Context, now time.Time) {
+	m.retriesLeft = maxRetriesPerHeartbeat
 	m.gossip.expire(now)
 	m.removeExpired(now)
 	m.writeSelf(m.config.ConfigVersion())
@@ -88,14 +90,19 @@
 	// Suspected members do not count as successors. Otherwise, if two neighbours die at
 	// once, the third would be monitored only after both are declared dead.
 	trusted := 0
+	var suspected []*member
 	for _, p := range m.ring() {
 		if !p.suspectedAt.IsZero() {
-			m.startExchange(ctx, p)
+			suspected = append(suspected, p)
 		} else if trusted < monitoredSuccessors {
 			trusted++
 			m.startExchange(ctx, p)
 		}
 	}
+	slices.SortStableFunc(suspected, func(a, b *member) int { return a.sentAt.Compare(b.sentAt) })
+	for _, p := range suspected {
+		m.startExchange(ctx, p)
+	}
 }
 
 // probeDead sends a heartbeat to the dead member that was contacted least recently, so
@@ -103,7 +110,7 @@
 func (m *Membership) probeDead(ctx context.Context) {
 	var dead *member
 	for _, p := range m.members {
-		if !p.alive() && !p.inFlight && (dead == nil || p.sentAt.Before(dead.sentAt)) {
+		if !p.alive() && !p.waiting() && (dead == nil || p.sentAt.Before(dead.sentAt)) {
 			dead = p
 		}
 	}
@@ -125,7 +132,7 @@
 		}
 	}
 	for _, d := range m.domains {
-		if d.outbox.urgent && !d.inFlight {
+		if d.outbox.urgent && m.mayStart(&d.attempts, now) {
 			m.sendSummary(ctx, d)
 		}
 	}
@@ -136,7 +143,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.broadcastTargets() {
-		if p.suspectedAt.IsZero() && (p.inFlight || p.outbox.urgent) {
+		if p.suspectedAt.IsZero() && (p.waiting() || p.outbox.urgent) {
 			return true
 		}
 	}
--- a/membership/summary.go
+++ b/membership/summary.go
@@ -35,11 +35,10 @@
 
 // domain is this node's view of another failure domain.
 type domain struct {
-	summary  Summary
-	source   summarySource
-	outbox   outbox
-	inFlight bool
-	sentAt   time.Time
+	summary Summary
+	source  summarySource
+	outbox  outbox
+	attempts
 	// lastContactAt is when a contact last answered this node or its representatives.
 	lastContactAt time.Time
 	// broadcastAt is when this node last broadcast the summary in its own domain.
@@ -100,13 +99,14 @@
 func (m *Membership) sendSummaries(ctx context.Context) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := time.Now()
 	all := make([]*domain, 0, len(m.domains))
 	for _, d := range m.domains {
 		all = append(all, d)
 	}
 	slices.SortFunc(all, func(a, b *domain) int { return a.sentAt.Compare(b.sentAt) })
 	for _, d := range all[:min(len(all), domainsPerTick)] {
-		if !d.inFlight {
+		if !d.waiting() || d.isLate(now) {
 			m.sendSummary(ctx, d)
 		}
 	}
@@ -115,13 +115,17 @@
 // sendSummary starts an exchange with a contact of another domain; the caller holds the
 // lock.
 func (m *Membership) sendSummary(ctx context.Context, d *domain) {
-	d.sentAt = time.Now()
+	now := time.Now()
 	if len(d.summary.Contacts) == 0 {
+		d.sentAt = now
 		return
 	}
-	d.inFlight = true
+	if d.waiting() {
+		d.contactIndex++
+	}
 	address := d.summary.Contacts[d.contactIndex%len(d.summary.Contacts)].Address
 	taken := d.outbox.takeBatch(&m.gossip, &m.bulkBudgetBytes)
+	number := d.start(now, taken)
 	message := m.newExchange()
 	message.Domain = m.config.FailureDomain
 	message.Summaries = []Summary{m.summary()}
@@ -133,13 +137,19 @@
 		defer cancel()
 		answer, err := m.config.Transport.Exchange(ctx, address, message)
 		m.mu.Lock()
-		d.inFlight = false
 		if err != nil {
-			d.contactIndex++
-			d.outbox.requeue(taken)
+			lost, isLast := d.failed(number)
+			d.outbox.requeue(lost)
+			if isLast {
+				d.contactIndex++
+			}
 			m.mu.Unlock()
 			return
 		}
+		for _, lost := range d.answered(number) {
+			d.outbox.restore(lost)
+			m.wakeLoop()
+		}
 		m.isolated = false
 		callbacks := m.mergeRemoteMessage(answer)
 		m.mu.Unlock()
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -98,7 +99,10 @@
 }
 
 // Ready reports whether replicas and a configuration are known.
-func (f *Follower) Ready() bool { return f.ready.Load() && f.config.Routes.Current() != nil }
+func (f *Follower) Ready() bool { return f.KnowsReplicas() && f.config.Routes.Current() != nil }
+
+// KnowsReplicas reports whether the replicas are known, from the store or a peer.
+func (f *Follower) KnowsReplicas() bool { return f.ready.Load() }
 
 // HasHeard reports whether the source has answered for the replicas within the given time.
 func (f *Follower) HasHeard(within time.Duration) bool {
@@ -303,6 +307,8 @@
 // that it lacks are removed. If afterOutage is set, some of the changes may date
 // from an outage of the store.
 func (f *Follower) applyReplicas(changes ReplicaChanges, whole, afterOutage bool) {
+	// Full lists are ordered by ID. The peer feed takes changes fastest by their version.
+	slices.SortStableFunc(changes.Changes, func(a, b ReplicaChange) int { return cmp.Compare(a.Version, b.Version) })
 	listed := map[string]bool{}
 	var started, present []*Replica
 	// If an entry lapsed and came back in one answer, its last change counts.
@@ -327,7 +333,8 @@
 		}
 		present = append(present, change.Replica)
 	}
-	f.addAll(started, whole)
+	// A peer's replicas are a list, too.
+	f.addAll(started, whole || !f.ready.Load())
 	for _, r := range present {
 		f.handleListed(r)
 	}
@@ -373,10 +380,10 @@
 }
 
 // addAll adds new starts of replicas at once. They replace earlier starts under the same
-// IDs. If whole is set, they come from a full list, which is logged as one.
-func (f *Follower) addAll(started []*Replica, whole bool) {
+// IDs. If listed is set, they come from a list, which is logged as one.
+func (f *Follower) addAll(started []*Replica, listed bool) {
 	level := slog.LevelInfo
-	if whole {
+	if listed {
 		level = slog.LevelDebug
 	}
 	var upstreams []*blackboard.Upstream
--- a/registry/peer_feed.go
+++ b/registry/peer_feed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"zinniamast"
+	"zinniamast/feedindex"
 )
 
 // ErrStale means that a peer has no recent answer from the store.
@@ -26,8 +27,13 @@
 // peers, with the store's own positions. Its lock is held for microseconds.
 type peerFeed struct {
 	mu sync.Mutex
-	// entries holds the newest change of each replica, removed ones included.
-	entries map[string]ReplicaChange
+	// entries holds the newest change of each replica, removed ones included, and
+	// versions orders them by their version, and removed the removed ones.
+	entries  map[string]ReplicaChange
+	versions *feedindex.Index[string]
+	removed  *feedindex.Index[string]
+	// newest is the highest version of the entries at the last answer of the store's feed.
+	newest uint64
 	// orders holds the newest order of each service.
 	orders map[string]zinniamast.RolloutOrder
 	// oldestPosition is the position before which removals are not known: that of
@@ -50,9 +56,11 @@
 
 func newPeerFeed() peerFeed {
 	return peerFeed{
-		entries: map[string]ReplicaChange{},
-		orders:  map[string]zinniamast.RolloutOrder{},
-		changed: make(chan struct{}),
+		entries:  map[string]ReplicaChange{},
+		versions: feedindex.New[string](),
+		removed:  feedindex.New[string](),
+		orders:   map[string]zinniamast.RolloutOrder{},
+		changed:  make(chan struct{}),
 	}
 }
 
@@ -66,6 +74,12 @@
 		return
 	}
 	p.entries[change.ID] = change
+	p.versions.Put(change.ID, change.Version)
+	if change.Replica == nil {
+		p.removed.Put(change.ID, change.Version)
+	} else {
+		p.removed.Delete(change.ID)
+	}
 }
 
 // saysTheSame reports whether two changes of an entry describe the same replica.
@@ -84,24 +98,49 @@
 }
 
 // removedEntryPositions is the number of positions for which removed entries are
-// retained; a peer that is further behind reads the full list.
-const removedEntryPositions = 5000
+// retained, and removedEntryRewrites the least number of rewrites of each entry for which
+// they are; a peer that is further behind reads the full list. Each rewrite takes a position:
+// 3,000 replicas that rewrite their entries every 1.2 s use 5,000 positions in two seconds,
+// and a peer that was paused for that long would read the list of all. With 16 rewrites it
+// has 19 seconds, as 5,000 positions give it before 300 replicas.
+const (
+	removedEntryPositions = 5000
+	removedEntryRewrites  = 16
+)
 
 func (p *peerFeed) advanceReplicas(position uint64, whole bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.advance(&p.replicas, position)
+	p.replicas.answeredAt = time.Now()
+	p.replicas.position = max(p.replicas.position, position)
+	newest := p.newest
+	for id := range p.versions.After(newest) {
+		newest = max(newest, p.entries[id].Version)
+	}
 	if whole {
 		p.oldestPosition = position
 	}
-	if position < removedEntryPositions || p.oldestPosition >= position-removedEntryPositions {
+	// Heartbeats alone wake no peer: with 75 nodes a failure domain and 3,000 replicas each
+	// would ask four times a second for nothing.
+	if whole || newest > p.newest {
+		p.newest = newest
+		p.wake()
+	}
+	retained := max(removedEntryPositions, removedEntryRewrites*uint64(len(p.entries)))
+	if position < retained || p.oldestPosition >= position-retained {
 		return
 	}
-	p.oldestPosition = position - removedEntryPositions
-	for id, change := range p.entries {
-		if change.Replica == nil && change.Version <= p.oldestPosition {
-			delete(p.entries, id)
-		}
+	p.oldestPosition = position - retained
+	p.deleteRemoved()
+}
+
+// deleteRemoved deletes the removed entries that are older than oldestPosition; the caller
+// holds the lock.
+func (p *peerFeed) deleteRemoved() {
+	for id, ok := p.removed.Oldest(); ok && p.entries[id].Version <= p.oldestPosition; id, ok = p.removed.Oldest() {
+		delete(p.entries, id)
+		p.versions.Delete(id)
+		p.removed.Delete(id)
 	}
 }
 
@@ -123,6 +162,11 @@
 		return
 	}
 	progress.position = position
+	p.wake()
+}
+
+// wake wakes all waiting calls of peers; the caller holds the lock.
+func (p *peerFeed) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -133,13 +177,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.replicas.answeredAt, p.config.answeredAt = time.Time{}, time.Time{}
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.wake()
 }
 
-// wait returns once a feed is beyond a position, the store's last answer is too
-// old, the wait is over or ctx ends.
-func (p *peerFeed) wait(ctx context.Context, progress *feedProgress, position uint64, wait time.Duration) {
+// wait returns once isDue, the store's last answer is too old, the wait is over or ctx
+// ends. isDue is called under the lock.
+func (p *peerFeed) wait(ctx context.Context, progress *feedProgress, wait time.Duration, isDue func() bool) {
 	p.mu.Lock()
 	wait = min(wait, max(0, staleAfter-time.Since(progress.answeredAt)))
 	p.mu.Unlock()
@@ -147,7 +190,7 @@
 	defer timer.Stop()
 	for {
 		p.mu.Lock()
-		done, changed := progress.position > position || time.Since(progress.answeredAt) > staleAfter, p.changed
+		done, changed := isDue() || time.Since(progress.answeredAt) > staleAfter, p.changed
 		p.mu.Unlock()
 		if done {
 			return
@@ -167,7 +210,7 @@
 // answer from the store.
 func (f *Follower) ReplicasAfter(ctx context.Context, position uint64, wait time.Duration) (ReplicaChanges, error) {
 	p := &f.peerFeed
-	p.wait(ctx, &p.replicas, position, wait)
+	p.wait(ctx, &p.replicas, wait, func() bool { return p.newest > position || p.oldestPosition > position })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if time.Since(p.replicas.answeredAt) > staleAfter {
@@ -179,10 +222,8 @@
 	answer := ReplicaChanges{
 		Position: max(position, p.replicas.position),
 	}
-	for _, change := range p.entries {
-		if change.Version > position {
-			answer.Changes = append(answer.Changes, change)
-		}
+	for id := range p.versions.After(position) {
+		answer.Changes = append(answer.Changes, p.entries[id])
 	}
 	return answer, nil
 }
@@ -190,7 +231,7 @@
 // ConfigAfter answers a peer as the store's feed would.
 func (f *Follower) ConfigAfter(ctx context.Context, position uint64, wait time.Duration) (ConfigChange, error) {
 	p := &f.peerFeed
-	p.wait(ctx, &p.config, position, wait)
+	p.wait(ctx, &p.config, wait, func() bool { return p.config.position > position })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if time.Since(p.config.answeredAt) > staleAfter {
@@ -210,6 +251,13 @@
 	return change, nil
 }
 
+// Examined returns how many entries this node has looked at to answer its peers.
+func (f *Follower) Examined() uint64 {
+	f.peerFeed.mu.Lock()
+	defer f.peerFeed.mu.Unlock()
+	return f.peerFeed.versions.Examined()
+}
+
 // Replicas returns the replicas known to this node, for a peer that has none.
 func (f *Follower) Replicas() ReplicaChanges {
 	p := &f.peerFeed
--- a/reports/board.go
+++ b/reports/board.go
@@ -7,6 +7,7 @@
 
 	"zinniamast/canary"
 	"zinniamast/demand"
+	"zinniamast/feedindex"
 )
 
 // Report is the load that a replica reported.
@@ -40,15 +41,19 @@
 type boardEntry struct {
 	report Report
 	readAt time.Time
-	// position is the board's position at which the report was stored.
-	position uint64
 }
 
+func (e boardEntry) isExpired(now time.Time) bool { return now.Sub(e.readAt) > reportExpiry }
+
 // Board holds the newest known report of each replica.
 type Board struct {
-	mu       sync.Mutex
-	reports  map[string]boardEntry
-	position uint64
+	mu      sync.Mutex
+	reports map[string]boardEntry
+	// positions orders the replicas by the board's position at which their reports were stored.
+	positions *feedindex.Index[string]
+	position  uint64
+	// sweptAt is when the expired reports were last removed.
+	sweptAt time.Time
 	// changed is closed and replaced on each change.
 	changed chan struct{}
 }
@@ -57,14 +62,19 @@
 // longer exists, or no node can reach it.
 const reportExpiry = 5 * time.Second
 
+// sweepInterval is how often expired reports are removed from memory. They are not part of
+// answers before that either.
+const sweepInterval = time.Second
+
 // NewBoard returns an empty board. Its positions start at the current time, so
 // that a position from before a restart of the node is never taken for one of
 // this board.
 func NewBoard() *Board {
 	return &Board{
-		reports:  map[string]boardEntry{},
-		position: uint64(time.Now().UnixNano()),
-		changed:  make(chan struct{}),
+		reports:   map[string]boardEntry{},
+		positions: feedindex.New[string](),
+		position:  uint64(time.Now().UnixNano()),
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -81,10 +91,10 @@
 		}
 		newer = append(newer, r)
 		b.reports[r.Replica] = boardEntry{
-			report:   r,
-			readAt:   at,
-			position: b.position + 1,
+			report: r,
+			readAt: at,
 		}
+		b.positions.Put(r.Replica, b.position+1)
 	}
 	if len(newer) == 0 {
 		return nil
@@ -96,15 +106,27 @@
 	return newer
 }
 
-// removeExpired removes expired reports; the caller holds the lock.
+// removeExpired removes expired reports once in each sweepInterval; the caller holds the lock.
 func (b *Board) removeExpired(now time.Time) {
+	if now.Sub(b.sweptAt) < sweepInterval {
+		return
+	}
+	b.sweptAt = now
 	for id, e := range b.reports {
-		if now.Sub(e.readAt) > reportExpiry {
+		if e.isExpired(now) {
 			delete(b.reports, id)
+			b.positions.Delete(id)
 		}
 	}
 }
 
+// Examined returns how many reports were looked at for all answers.
+func (b *Board) Examined() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.positions.Examined()
+}
+
 // Since returns the reports stored after a position, of one failure domain or of
 // all if failureDomain is empty. If there are none, it waits up to wait for the
 // first. A position outside the range of this board returns all reports at once.
@@ -116,6 +138,7 @@
 		if len(answer.Reports) > 0 {
 			return answer
 		}
+		position = answer.Position
 		select {
 		case <-changed:
 		case <-timeout.C:
@@ -136,8 +159,9 @@
 	answer := Answer{
 		Position: b.position,
 	}
-	for _, e := range b.reports {
-		if e.position <= position || failureDomain != "" && e.report.FailureDomain != failureDomain {
+	for id := range b.positions.After(position) {
+		e := b.reports[id]
+		if e.isExpired(now) || failureDomain != "" && e.report.FailureDomain != failureDomain {
 			continue
 		}
 		r := e.report
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -8,7 +8,9 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"slices"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,9 +45,11 @@
 	server    *httptest.Server
 	startedAt time.Time
 
-	mu      sync.Mutex
-	fault   Fault
-	rows    map[string]Row
+	mu    sync.Mutex
+	fault Fault
+	rows  map[string]Row
+	// keys holds the sorted keys of the parts that have been listed, see list.
+	keys    map[string][]string
 	history []Row
 	// dropped is the newest version that the history no longer contains.
 	dropped uint64
@@ -60,6 +64,7 @@
 	s := &Store{
 		startedAt: time.Now(),
 		rows:      map[string]Row{},
+		keys:      map[string][]string{},
 		changed:   make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -203,6 +208,9 @@
 func (s *Store) change(r Row) {
 	r.Ver = s.ver
 	name := rowKey(r.Table, r.Part, r.Key)
+	if _, known := s.rows[name]; !known || r.Deleted {
+		delete(s.keys, rowKey(r.Table, r.Part, ""))
+	}
 	s.rows[name] = r
 	if r.Deleted {
 		delete(s.rows, name)
@@ -212,14 +220,24 @@
 	s.changed = make(chan struct{})
 }
 
+// list returns the rows of a table's part, by key; the caller holds the lock. The order is kept
+// until a row is added or removed: hundreds of nodes read thousands of rows at their start.
 func (s *Store) list(table, part string) []Row {
-	var rows []Row
-	for _, r := range s.rows {
-		if r.Table == table && r.Part == part {
-			rows = append(rows, r)
+	name := rowKey(table, part, "")
+	keys, ok := s.keys[name]
+	if !ok {
+		for _, r := range s.rows {
+			if r.Table == table && r.Part == part {
+				keys = append(keys, r.Key)
+			}
 		}
+		slices.Sort(keys)
+		s.keys[name] = keys
+	}
+	rows := make([]Row, len(keys))
+	for i, key := range keys {
+		rows[i] = s.rows[name+key]
 	}
-	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
 	return rows
 }
 
@@ -288,7 +306,14 @@
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	rows, truncated := s.page(query)
+	current := s.current(rows, truncated)
+	s.mu.Unlock()
+	s.write(w, http.StatusOK, current)
+}
+
+// page returns the rows of one answer, and whether there are more; the caller holds the lock.
+func (s *Store) page(query url.Values) ([]Row, bool) {
 	limit := pageRows
 	if requested, err := strconv.Atoi(query.Get("limit")); err == nil {
 		limit = min(limit, requested)
@@ -300,7 +325,7 @@
 		}
 		rows = append(rows, row)
 	}
-	s.answer(w, http.StatusOK, rows[:min(limit, len(rows))], len(rows) > limit)
+	return rows[:min(limit, len(rows))], len(rows) > limit
 }
 
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
@@ -318,8 +343,9 @@
 		}
 		rows := s.changesAfter(query.Get("table"), since)
 		if len(rows) > 0 && !silent {
-			s.answer(w, http.StatusOK, rows, false)
+			current := s.current(rows, false)
 			s.mu.Unlock()
+			s.write(w, http.StatusOK, current)
 			return
 		}
 		changed := s.changed
@@ -349,9 +375,10 @@
 
 // changesAfter returns the changes of a table after a version; the caller holds the lock.
 func (s *Store) changesAfter(table string, since uint64) []Row {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Ver > since })
 	var rows []Row
-	for _, r := range s.history {
-		if r.Ver > since && r.Table == table {
+	for _, r := range s.history[first:] {
+		if r.Table == table {
 			rows = append(rows, r)
 		}
 	}
@@ -367,12 +394,17 @@
 
 // answer writes an answer with rows; the caller holds the lock.
 func (s *Store) answer(w http.ResponseWriter, status int, rows []Row, truncated bool) {
-	s.write(w, status, answer{
+	s.write(w, status, s.current(rows, truncated))
+}
+
+// current returns an answer with rows and the present version; the caller holds the lock.
+func (s *Store) current(rows []Row, truncated bool) answer {
+	return answer{
 		Rows:      rows,
 		Truncated: truncated,
 		Ver:       s.ver,
 		NowMs:     s.now(),
-	})
+	}
 }
 
 // answerSilentFeed answers a feed without changes and with the version from which
