--- a/command/fleet_test.go
+++ b/command/fleet_test.go
@@ -162,6 +162,10 @@
 		Members:       n.members,
 		Refusals:      func() map[string]uint64 { return map[string]uint64{"over_share": 3} },
 		Explain:       func(_ context.Context, request string) (string, error) { return "story of " + request, nil },
+		Scarcity: func() ([]operator.RefusedRequests, []operator.Share) {
+			return []operator.RefusedRequests{{Service: "assistant", Class: "urgent", Organisation: "acme", Reason: "over_share", Count: 7}},
+				[]operator.Share{{Service: "assistant", Organisation: "acme", Used: 0.625, Entitled: 0.5}}
+		},
 		Leases: func(context.Context) ([]operator.Lease, error) {
 			return []operator.Lease{{Name: "capacity", Holder: id, Fence: 4}}, nil
 		},
--- a/command/status.go
+++ b/command/status.go
@@ -18,7 +18,7 @@
 	flags := flag.NewFlagSet("status", flag.ContinueOnError)
 	flags.SetOutput(errOut)
 	flags.Usage = func() {
-		fmt.Fprintln(errOut, "usage: zinniamast status [flags]\n\nPrints members, upstreams, configuration versions, leases, calls whose outcome\nis open, requests held back, and refusals by reason, as one node sees them.")
+		fmt.Fprintln(errOut, "usage: zinniamast status [flags]\n\nPrints members, upstreams, configuration versions, leases, calls whose outcome\nis open, requests held back, recent refusals, shares, and refusals by reason, as one node sees them.")
 		flags.PrintDefaults()
 	}
 	target := addOperatorFlags(flags)
@@ -65,6 +65,7 @@
 	printVersions(out, status.Versions)
 	printLeasesAndUnknowns(out, status)
 	printHeld(out, status)
+	printScarcity(out, status)
 	fmt.Fprintln(out, "\nREFUSALS BY REASON")
 	for _, reason := range slices.Sorted(maps.Keys(status.Refusals)) {
 		fmt.Fprintf(out, "%s %d\n", reason, status.Refusals[reason])
--- a/condition.go
+++ b/condition.go
@@ -33,8 +33,10 @@
 type Availability struct {
 	// Blocked are the replicas that may not get a request.
 	Blocked []string
-	// Spare are replicas that may get one only if no other replica can.
+	// Spare are replicas that may get one only if no other replica can. Full are those of them
+	// that have just rejected a request of this node for want of room.
 	Spare []string
+	Full  []string
 	// FreesPlace reports whether a blocked replica can get a request as soon as one of this
 	// node's requests there ends.
 	FreesPlace bool
--- a/egress/egress.go
+++ b/egress/egress.go
@@ -34,6 +34,13 @@
 	MayRelay func(upstream *blackboard.Upstream) bool
 	// OnRelayed receives the head of each replica's answer to a peer's request; nil is allowed.
 	OnRelayed func(upstream *blackboard.Upstream, response *http.Response)
+	// Holders returns the IDs of the other instances that hold places at a replica; nil means
+	// that this instance asks no other one for an unused place.
+	Holders func(upstream *blackboard.Upstream) []string
+	// TakePlace takes an unused place of this instance at a replica for a peer's request. It
+	// returns nil if there is none, and the ID of another replica of the service at which there
+	// is one; empty if there is none either. Nil means that there is never one.
+	TakePlace func(upstream *blackboard.Upstream) (taken *Place, other string)
 	// RequestID returns the ID of a request, for the log; nil means that none has one.
 	RequestID func(header http.Header) string
 	// Logger logs paths that go down and requests that are relayed; nil means slog's
@@ -57,6 +64,7 @@
 	config  Config
 	metrics *metrics
 	peers   peerChoice
+	detours detours
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -76,6 +84,9 @@
 	if config.OnRelayed == nil {
 		config.OnRelayed = func(*blackboard.Upstream, *http.Response) {}
 	}
+	if config.TakePlace == nil {
+		config.TakePlace = func(*blackboard.Upstream) (*Place, string) { return nil, "" }
+	}
 	if config.RequestID == nil {
 		config.RequestID = func(http.Header) string { return "" }
 	}
--- a/egress/metrics.go
+++ b/egress/metrics.go
@@ -10,6 +10,8 @@
 	linksDown       prometheus.Gauge
 	relayed         *prometheus.CounterVec
 	relayedForPeers prometheus.Counter
+	placeAsks       *prometheus.CounterVec
+	placesGiven     prometheus.Gauge
 }
 
 // Outcomes of requests that were to be relayed, as a metric label.
@@ -17,6 +19,7 @@
 	relayAnswered = "answered"
 	relayFailed   = "failed"
 	relayNoPeer   = "no_peer"
+	relayNoPlace  = "no_place"
 )
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -34,6 +37,14 @@
 			Name: "zinniamast_egress_relayed_for_peers_total",
 			Help: "Requests of other instances that this one sent to a replica.",
 		}),
+		placeAsks: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "zinniamast_egress_place_asks_total",
+			Help: "Requests without a place here that were offered to another instance, by outcome.",
+		}, []string{"outcome"}),
+		placesGiven: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "zinniamast_egress_places_given",
+			Help: "Places of this instance that requests of other instances use now.",
+		}),
 	}
 }
 
--- a/egress/receiver.go
+++ b/egress/receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -30,7 +31,8 @@
 // ServeHTTP implements http.Handler: it sends a peer's request to a replica over this
 // instance's own link, once, and passes the answer on as it comes.
 func (e *Egress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	upstream := e.config.Upstreams.Get(r.Header.Get(headerReplica))
+	inPlace := r.Header.Get(headerPlace)
+	upstream := e.config.Upstreams.Get(cmp.Or(inPlace, r.Header.Get(headerReplica)))
 	if e.config.Closing() {
 		writeOutcome(w, outcomeUnfit, "this instance is stopping")
 		return
@@ -58,6 +60,15 @@
 		writeOutcome(w, outcomeUnreachable, "the path to the replica is down here as well")
 		return
 	}
+	onAnswer := func(response *http.Response) { e.config.OnRelayed(upstream, response) }
+	if inPlace != "" {
+		place := e.takePlace(w, upstream)
+		if place == nil {
+			return
+		}
+		defer e.releasePlace(place)
+		onAnswer = place.OnAnswer
+	}
 	ctx, cancel := relayContext(r)
 	defer cancel()
 	request, err := e.receivedRequest(w, r, upstream)
@@ -76,7 +87,7 @@
 	}
 	defer response.Body.Close()
 	e.metrics.relayedForPeers.Inc()
-	e.config.OnRelayed(upstream, response)
+	onAnswer(response)
 	passOn(w, response)
 }
 
@@ -107,7 +118,7 @@
 		return nil, err
 	}
 	header := r.Header.Clone()
-	for _, name := range []string{headerReplica, headerTimeout, "Connection", "Content-Length"} {
+	for _, name := range []string{headerReplica, headerPlace, headerTimeout, "Connection", "Content-Length"} {
 		header.Del(name)
 	}
 	if _, ok := header["User-Agent"]; !ok {
--- a/egress/relay.go
+++ b/egress/relay.go
@@ -20,6 +20,11 @@
 const (
 	// headerReplica is the ID of the replica that gets the request.
 	headerReplica = "Relay-Replica"
+	// headerPlace is the ID of the replica that gets the request if the peer has an unused place
+	// there. It stands instead of headerReplica, so that an instance that does not know it sends
+	// nothing. headerOffer names another replica at which a peer without one has a place.
+	headerPlace = "Relay-Place"
+	headerOffer = "Relay-Offer"
 	// headerProbe asks the peer only to connect to the replica.
 	headerProbe = "Relay-Probe"
 	// headerTimeout is the time in milliseconds after which the request is useless.
@@ -37,6 +42,8 @@
 	// that it relays no request to the service: its link is down as well, or it is stopping.
 	outcomeUnreachable = "unreachable"
 	outcomeUnfit       = "unfit"
+	// outcomeNoPlace means that the peer has no unused place at the replica.
+	outcomeNoPlace = string(zinniamast.FailureNoPlace)
 	// endWhole means that the answer ended as the replica ended it.
 	endWhole = "whole"
 )
@@ -68,7 +75,7 @@
 	unreachable := upstream.Instance.Service
 	for _, peer := range peers {
 		var unfitFor string
-		response, unfitFor, err = e.sendThrough(ctx, peer, upstream, request)
+		response, unfitFor, err = e.sendThrough(ctx, peer, upstream, request, headerReplica)
 		if unfitFor == "" {
 			e.metrics.count(err)
 			e.peers.recordSuccess(peer, upstream)
@@ -101,11 +108,12 @@
 		"took", took.Round(time.Millisecond), "cause", err)
 }
 
-// sendThrough sends a request through one peer. If the peer did not take it, unfitFor is the
-// service or the replica that the peer cannot reach.
-func (e *Egress) sendThrough(ctx context.Context, peer Peer, upstream *blackboard.Upstream, request *http.Request) (_ *http.Response, unfitFor string, err error) {
+// sendThrough sends a request through one peer, with the replica in the given header. If the peer
+// did not take it, unfitFor is the service or the replica that the peer cannot reach, or at which
+// it has no unused place.
+func (e *Egress) sendThrough(ctx context.Context, peer Peer, upstream *blackboard.Upstream, request *http.Request, header string) (_ *http.Response, unfitFor string, err error) {
 	service := upstream.Instance.Service
-	relayed, err := relayedRequest(ctx, peer, upstream, request)
+	relayed, err := relayedRequest(ctx, peer, upstream, request, header)
 	if err != nil {
 		return nil, service, err
 	}
@@ -130,6 +138,11 @@
 		return response, "", nil
 	case outcomeUnreachable:
 		unfitFor = upstream.Instance.ID
+	case outcomeNoPlace:
+		unfitFor = service
+		if e.detours.recordOffer(service, peer, response.Header.Get(headerOffer)) {
+			unfitFor = upstream.Instance.ID
+		}
 	case outcomeUnfit:
 		unfitFor = service
 	}
@@ -150,7 +163,7 @@
 const maxMessageBytes = 1 << 10
 
 // relayedRequest returns a copy of a request that is sent to a peer.
-func relayedRequest(ctx context.Context, peer Peer, upstream *blackboard.Upstream, request *http.Request) (*http.Request, error) {
+func relayedRequest(ctx context.Context, peer Peer, upstream *blackboard.Upstream, request *http.Request, header string) (*http.Request, error) {
 	relayed := request.Clone(ctx)
 	if request.GetBody != nil {
 		body, err := request.GetBody()
@@ -160,7 +173,7 @@
 		relayed.Body = body
 	}
 	relayed.URL.Host = peer.Address
-	relayed.Header.Set(headerReplica, upstream.Instance.ID)
+	relayed.Header.Set(header, upstream.Instance.ID)
 	relayed.Header.Del(headerTimeout)
 	if deadline, ok := ctx.Deadline(); ok {
 		relayed.Header.Set(headerTimeout, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -81,6 +81,7 @@
 		OnOrder:   func(order zinniamast.RolloutOrder) { e.rollouts.SetOrder(order) },
 		Logger:    e.config.Logger,
 	})
+	e.buildSeeder()
 	e.roster = roster.New(roster.Config{
 		Table:         e.table,
 		ID:            s.Instance,
@@ -241,12 +242,15 @@
 		Router:        e.router,
 		Protocol:      platform.Headers{},
 		RetryBudget:   e.retries,
+		Hedges:        e.retries,
 		Allowance:     e.allowance,
 		Throttle:      e.throttle,
+		Detours:       e.egress,
 		Quarantine:    e.quarantine,
 		Parts:         e.parts,
 		Origins:       e.origins,
 		Rollouts:      e.rollouts,
+		Queue:         e.queue,
 		Meter:         e.usage,
 		Demand:        e.demand,
 		Closing:       e.closing.Load,
@@ -307,7 +311,7 @@
 	return []func(context.Context){
 		e.follower.Run,
 		e.maintainRoster,
-		e.fetchReplicas,
+		e.seeder.Run,
 		e.members.Run,
 		e.reports.Run,
 		e.allowance.Run,
--- a/entry/egress.go
+++ b/entry/egress.go
@@ -38,6 +38,10 @@
 		OnRelayed: func(upstream *blackboard.Upstream, response *http.Response) {
 			e.throttle.Relayed(upstream, platform.Headers{}.ReadResponse(response).Feedback)
 		},
+		Holders: func(upstream *blackboard.Upstream) []string {
+			return e.owners.Holders(upstream.Instance.ID, upstream.Slots)
+		},
+		TakePlace:  e.takePlace,
 		RequestID:  func(header http.Header) string { return platform.Headers{}.ReadRequest(header).ID },
 		Logger:     e.config.Logger,
 		Registerer: e.registry,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,7 @@
 	"zinniamast/peer"
 	"zinniamast/platform"
 	"zinniamast/quarantine"
+	"zinniamast/queue"
 	"zinniamast/registry"
 	"zinniamast/reports"
 	"zinniamast/retry"
@@ -104,14 +105,17 @@
 	router    zinniamast.Router
 	runRouter func(context.Context)
 	// onReport passes a replica's load report to the policy; nil if the policy uses none.
-	onReport   func(replica string, report zinniamast.LoadReport)
-	store      *platform.Store
-	table      zinniamast.Table
-	clock      *clock.Clock
-	follower   *registry.Follower
-	roster     *roster.Roster
-	peerServer *peer.Server
-	peerPool   *peer.Pool
+	onReport func(replica string, report zinniamast.LoadReport)
+	store    *platform.Store
+	table    zinniamast.Table
+	clock    *clock.Clock
+	follower *registry.Follower
+	seeder   *registry.Seeder
+	// configFetches holds one item for each fetch of a configuration in progress.
+	configFetches chan struct{}
+	roster        *roster.Roster
+	peerServer    *peer.Server
+	peerPool      *peer.Pool
 	// longPollPool carries long polls, separate from heartbeats and short calls.
 	longPollPool *peer.Pool
 	members      *membership.Membership
@@ -119,7 +123,9 @@
 	fleetPool    *limits.Pool
 	domainPool   *limits.Pool
 	allowance    *limits.Allowance
+	queue        *queue.Queue
 	throttle     *throttle.Throttle
+	owners       *throttle.Owners
 	retries      *retry.Window
 	rollouts     *canary.Canary
 	// rolloutLeader leads the rollouts while this node holds the lease.
@@ -162,6 +168,8 @@
 		runRouter: func(context.Context) {},
 		clock:     config.Clock,
 		registry:  prometheus.NewRegistry(),
+
+		configFetches: make(chan struct{}, maxConcurrentFetches),
 	}
 	addresses := []string{config.Settings.Frontend, config.Settings.Ready}
 	if config.MetricsPort > 0 {
--- a/entry/retry_test.go
+++ b/entry/retry_test.go
@@ -32,11 +32,7 @@
 		fleet: newFleet(t),
 	}
 	f.stopTimeout = 1500 * time.Millisecond
-	f.store.Put("op", "config", []byte(`{"version":2,
-		"routes":[{"name":"r","hostname":"models.example","prefix":"/pay/","routeType":"safe","timeoutMs":5000,"sloMs":100,"service":"svc","maxAttempts":3,"anonymous":true}],
-		"services":[{"name":"svc"}],
-		"limits":{"maxBodyBytes":4096},
-		"tenants":[{"name":"acme","apiKeys":["k"]}]}`))
+	f.setTarget(2, 100)
 	for i := range 4 {
 		r := replica.New(fmt.Sprint("i-", i+1))
 		t.Cleanup(r.Close)
@@ -50,6 +46,16 @@
 	return f
 }
 
+// setTarget writes a version of the configuration in which requests have a target in milliseconds.
+// With zero, they do not wait for a place.
+func (f *rejectingFleet) setTarget(version, milliseconds int) {
+	f.store.Put("op", "config", fmt.Appendf(nil, `{"version":%d,
+		"routes":[{"name":"r","hostname":"models.example","prefix":"/pay/","routeType":"safe","timeoutMs":5000,"sloMs":%d,"service":"svc","maxAttempts":3,"anonymous":true}],
+		"services":[{"name":"svc"}],
+		"limits":{"maxBodyBytes":4096},
+		"tenants":[{"name":"acme","apiKeys":["k"]}]}`, version, milliseconds))
+}
+
 // launchInstance runs an instance under the bound of the tests.
 func (f *rejectingFleet) launchInstance(name string, seeds ...string) {
 	f.t.Helper()
@@ -164,6 +170,7 @@
 // Guards against callers whose requests are not repeated because their instance has been restarted.
 func TestRestartedInstanceGoesOnWithItsRetryBudget(t *testing.T) {
 	f := newRejectingFleet(t)
+	f.setTarget(3, 0) // requests that wait do not use up their retries
 	names := []string{"edge-1", "edge-2"}
 	for _, name := range names {
 		f.launchInstance(name)
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -142,6 +142,11 @@
 		if _, err := fmt.Fprintln(out, strings.TrimRight(row, " ")); err != nil {
 			return err
 		}
+		if wait := line.describeWait(); wait != "" {
+			if _, err := fmt.Fprintf(out, "%*s%s\n", summaryIndent, "", wait); err != nil {
+				return err
+			}
+		}
 	}
 	return nil
 }
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -47,3 +47,19 @@
 	check.NoErr(err)
 	check.Equal(explain.Write(&strings.Builder{}, "r-9", lines), explain.ErrRequestNotFound)
 }
+
+// Guards against a history that does not tell why a request waited, or tells it of other lines.
+func TestWaitIsDescribed(t *testing.T) {
+	check := is.New(t)
+	const log = `time=2026-09-25T07:51:21.000Z level=INFO msg="request waits for a place" request=r-1 position=9
+time=2026-09-25T07:51:21.312Z level=INFO msg="request has waited" request=r-1 waited=312ms position=7 ahead_urgent=4 ahead_own=2 ahead_others=0 begun_urgent=5 begun_same=3 begun_deferred=1
+time=2026-09-25T07:51:21.313Z level=INFO msg="request has waited" request=r-1
+`
+	lines, err := explain.Read(nil, "edge-1", strings.NewReader(log), "r-1")
+	check.NoErr(err)
+	var out strings.Builder
+	check.NoErr(explain.Write(&out, "r-1", lines))
+	check.Equal(strings.Count(out.String(), "waited 312ms from position 7: 4 of more urgent classes, 2 of its organisation and 0 of others in its class were before it; "+
+		"5 more urgent, 3 of its class and 1 less urgent requests began at replicas meanwhile\n"), 1)
+	check.Equal(strings.Count(out.String(), "from position"), 1)
+}
--- a/failure.go
+++ b/failure.go
@@ -33,6 +33,9 @@
 	FailurePath Failure = "path"
 	// FailureRelay means that the node that relayed the attempt was lost during it.
 	FailureRelay Failure = "relay"
+	// FailureNoPlace means that the node that was to relay the attempt had no unused place at the
+	// upstream and sent nothing there.
+	FailureNoPlace Failure = "no_place"
 )
 
 // FailureOutcome describes what can be concluded from a failure.
@@ -60,6 +63,7 @@
 	FailureStopped:      {Ran: Unknown, BlamesReplica: false, MayHaveCrashed: false},
 	FailurePath:         {Ran: Unknown, BlamesReplica: false, MayHaveCrashed: false},
 	FailureRelay:        {Ran: Unknown, BlamesReplica: false, MayHaveCrashed: false},
+	FailureNoPlace:      {Ran: NotRun, BlamesReplica: false, MayHaveCrashed: false},
 }
 
 // ErrPathLost is the error of an answer that ended early because this node's path to the
@@ -90,6 +94,11 @@
 // Unwrap returns the underlying error.
 func (e *UpstreamError) Unwrap() error { return e.Cause }
 
+// WasUnsent reports whether no byte of the request was sent to the upstream.
+func (e *UpstreamError) WasUnsent() bool {
+	return e.Failure == FailureDial || e.Failure == FailureNoPlace
+}
+
 // Outcome returns what can be concluded from the failure.
 func (e *UpstreamError) Outcome() FailureOutcome {
 	outcome, ok := FailureOutcomes[e.Failure]
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -53,6 +53,7 @@
 		if failure := h.dispatch(c, s); failure != nil {
 			return failure
 		}
+		c.place.entry.Began()
 		if s.stream == nil {
 			h.recordStart(c, s)
 			t.watch.Received()
--- a/forward/brittle_test.go
+++ b/forward/brittle_test.go
@@ -52,6 +52,7 @@
 			nodes:    c.nodes,
 			replicas: c.replicas,
 			slots:    c.slots,
+			hasPaths: c.hasBusyNode,
 		}),
 	}
 	w.list(c.unlisted)
@@ -71,6 +72,9 @@
 			w.falls++
 		}
 	}
+	if c.hasBusyNode {
+		w.closeServers()
+	}
 	time.Sleep(time.Minute)
 	return w
 }
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,8 +22,10 @@
 	"zinniamast/blackboard"
 	"zinniamast/egress"
 	"zinniamast/forward"
+	"zinniamast/limits"
 	"zinniamast/platform"
 	"zinniamast/quarantine"
+	"zinniamast/queue"
 	"zinniamast/retry"
 	"zinniamast/routes"
 	"zinniamast/routing"
@@ -61,6 +67,8 @@
 	arrivals map[string][]time.Duration
 	// runs counts how often each request that must not be repeated reached a replica.
 	runs map[string]int
+	// begun counts how often replicas took each request.
+	begun map[string]int
 	// brittle is how the replicas behave while they are brittle; nil while they are not. slots
 	// is the number of requests that each takes at once.
 	brittle *brittleness
@@ -74,6 +82,9 @@
 	// unlisted is the number of the last nodes that the others do not know and that get no
 	// requests.
 	unlisted int
+	// onArrival is called, with the lock held, when a request with an ID reaches a replica; nil is
+	// allowed.
+	onArrival func(request string)
 	// refused counts the other requests that were held back, and served those with a
 	// whole answer.
 	refused, served, sent int
@@ -94,6 +105,15 @@
 	newRouter func(board *blackboard.Board, failureDomain string) zinniamast.Router
 	// hasPaths gives each node paths to the replicas that can be cut.
 	hasPaths bool
+	// organisations are the callers' organisations beside the one of the configuration.
+	organisations []routes.Organisation
+	// speeds are the speeds of the replicas in turn, as multiples of the reference speed at
+	// which a request takes the time that it names; nil means that all have that speed.
+	speeds []float64
+	// hasNoReplacements lets replicas that crashed stay away.
+	hasNoReplacements bool
+	// logs receives the nodes' log lines; nil means that the fixture collects them.
+	logs io.Writer
 }
 
 // fleetNode is one node of a fleet. It implements zinniamast.Gossip.
@@ -102,17 +122,30 @@
 	handler *forward.Handler
 	board   *blackboard.Board
 	// throttle is built from throttling, again when the node forgets what it knows.
-	throttle    *throttle.Throttle
-	throttling  throttle.Config
+	throttle   *throttle.Throttle
+	throttling throttle.Config
+	owners     *throttle.Owners
+	queue      *queue.Queue
+	// subscribing guards subscribers: a node that forgets what it knows subscribes again.
+	subscribing sync.Mutex
 	subscribers map[zinniamast.Topic][]func(zinniamast.GossipItem)
 
-	name   string
-	domain string
+	name    string
+	domain  string
+	retries *retry.Window
+	// leaves makes the node refuse new requests, and killed is done once its process is killed.
+	leaves atomic.Bool
+	killed context.Context
+	kill   context.CancelFunc
+	// hasNoGossip keeps gossip from and to the node; the fleet's lock guards it.
+	hasNoGossip bool
 	// The fields below are set if the nodes have paths.
 	paths  *paths
 	egress *egress.Egress
 	relays *pipeListener
-	server *http.Server
+	// hasSilentLinks keeps all bytes between the node and other nodes.
+	hasSilentLinks atomic.Bool
+	server         *http.Server
 }
 
 // currentThrottle is the present throttle of a node. It implements forward.Throttle.
@@ -141,6 +174,24 @@
 	c.current().Answered(upstream, sent, feedback)
 }
 
+// KeepsPlace implements forward.Throttle.
+func (c currentThrottle) KeepsPlace(upstream *blackboard.Upstream) bool {
+	return c.current().KeepsPlace(upstream)
+}
+
+// UnusedPlaces implements forward.Throttle.
+func (c currentThrottle) UnusedPlaces(service string) ([]string, bool) {
+	return c.current().UnusedPlaces(service)
+}
+
+// Shared implements forward.Throttle.
+func (c currentThrottle) Shared(service string) []string { return c.current().Shared(service) }
+
+// AnsweredThroughPeer implements forward.Throttle.
+func (c currentThrottle) AnsweredThroughPeer(upstream *blackboard.Upstream, sent time.Time, feedback zinniamast.Feedback) {
+	c.current().AnsweredThroughPeer(upstream, sent, feedback)
+}
+
 // forget lets all nodes forget what replicas said of themselves.
 func (f *fleet) forget() {
 	f.mu.Lock()
@@ -152,20 +203,42 @@
 
 // Publish implements zinniamast.Gossip.
 func (n *fleetNode) Publish(item zinniamast.GossipItem) {
+	if n.killed.Err() != nil {
+		return // its process is dead, although its timers go on
+	}
 	time.AfterFunc(fleetGossipDelay, func() {
-		for _, other := range n.fleet.nodes {
-			if other == n {
+		for _, other := range n.fleet.currentNodes() {
+			if other == n || !n.fleet.areInTouch(n, other) {
 				continue
 			}
-			for _, receive := range other.subscribers[item.Topic] {
+			other.subscribing.Lock()
+			receivers := slices.Clone(other.subscribers[item.Topic])
+			other.subscribing.Unlock()
+			for _, receive := range receivers {
 				receive(item)
 			}
 		}
 	})
 }
 
+// areInTouch reports whether gossip of one node reaches the other.
+func (f *fleet) areInTouch(n, other *fleetNode) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !n.hasNoGossip && !other.hasNoGossip
+}
+
+// currentNodes returns the nodes that run.
+func (f *fleet) currentNodes() []*fleetNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes
+}
+
 // Subscribe implements zinniamast.Gossip.
 func (n *fleetNode) Subscribe(topic zinniamast.Topic, receive func(zinniamast.GossipItem)) {
+	n.subscribing.Lock()
+	defer n.subscribing.Unlock()
 	n.subscribers[topic] = append(n.subscribers[topic], receive)
 }
 
@@ -184,6 +257,7 @@
 		crashes:  map[string][]time.Duration{},
 		arrivals: map[string][]time.Duration{},
 		runs:     map[string]int{},
+		begun:    map[string]int{},
 	}
 	routes := configuration()
 	for i := range routes.Routes {
@@ -192,9 +266,10 @@
 		routes.Routes[i].PauseTarget = 400 * time.Millisecond
 		routes.Routes[i].MaxAttempts = 3
 	}
+	routes.Organisations = append(routes.Organisations, config.organisations...)
 	f.routes.Apply(routes)
 	for i := range config.nodes {
-		f.addNode(i)
+		f.nodes = append(f.nodes, f.newNode(i, time.Time{}))
 	}
 	for i := range config.replicas {
 		f.startReplica(fmt.Sprint("domain-", i%fleetDomains))
@@ -202,11 +277,16 @@
 	return f
 }
 
-// addNode adds a node.
-func (f *fleet) addNode(i int) {
+// newNode returns the node with an index, which knows no replica yet. It has its whole retry budget
+// from the given time on.
+func (f *fleet) newNode(i int, retriesFrom time.Time) *fleetNode {
 	domain := fmt.Sprint("domain-", i%fleetDomains)
 	name := fmt.Sprint("node-", i)
-	logger := slog.New(slog.NewTextHandler(&f.log, nil)).With("node", name)
+	var logs io.Writer = &f.log
+	if f.config.logs != nil {
+		logs = f.config.logs
+	}
+	logger := slog.New(slog.NewTextHandler(logs, nil)).With("node", name)
 	n := &fleetNode{
 		name:        name,
 		domain:      domain,
@@ -214,6 +294,8 @@
 		board:       blackboard.New(),
 		subscribers: map[zinniamast.Topic][]func(zinniamast.GossipItem){},
 	}
+	n.killed, n.kill = context.WithCancel(context.Background())
+	isClosing := func() bool { return f.closing.Load() || n.leaves.Load() }
 	if f.config.hasPaths {
 		n.addEgress(name, domain, logger)
 	}
@@ -223,28 +305,47 @@
 		Members:       n.board.Members,
 		Instances:     f.instances,
 	}
+	var requests *queue.Queue
+	requests = queue.New(queue.Config{
+		Node:   name,
+		Gossip: n,
+		Slots:  n.board.Upstreams.Slots,
+		Usage: limits.NewAccounts(limits.AccountsConfig{
+			Board:         f.membersOf(domain),
+			Node:          name,
+			FailureDomain: domain,
+			Gossip:        n,
+			IsNeeded:      func() bool { return requests.IsAnyShort() },
+		}),
+		Logger: logger,
+	})
 	n.throttling = throttle.Config{
 		Upstreams: n.board.Upstreams,
 		IsOwner:   func(_, replicaDomain string) bool { return replicaDomain == domain && i < fleetDomains },
 		Share:     owners.Share,
+		Places:    requests.Places(owners.Nodes),
 		Gossip:    n,
 		Logger:    logger,
 	}
+	n.owners, n.queue = owners, requests
 	n.throttle = throttle.New(n.throttling)
+	n.retries = retry.NewWindow(retry.WindowConfig{
+		Ratio:      retryRatio,
+		Slack:      retrySlack,
+		Window:     retryPeriod,
+		Nodes:      func() int { return f.config.nodes },
+		EarnedFrom: func() time.Time { return retriesFrom },
+		SharedFrom: func() time.Time { return retriesFrom },
+	})
 	n.handler = forward.New(forward.Config{
 		Routes:        f.routes,
 		Upstreams:     n.board.Upstreams,
 		FailureDomain: domain,
 		Router:        f.newRouter(n.board, i),
 		Protocol:      platform.Headers{},
-		RetryBudget: retry.NewWindow(retry.WindowConfig{
-			Ratio:  0.2,
-			Slack:  52,
-			Window: 10 * time.Second,
-			Nodes:  func() int { return f.config.nodes },
-		}),
-		Allowance: f,
-		Throttle:  currentThrottle{n},
+		RetryBudget:   n.retries,
+		Allowance:     f,
+		Throttle:      currentThrottle{n},
 		Quarantine: quarantine.New(quarantine.Config{
 			FailureDomain: n.failureDomain,
 			Gossip:        n,
@@ -255,13 +356,15 @@
 			Gossip:        n,
 			Logger:        logger,
 		}),
+		Detours:  n.detours(),
+		Queue:    requests,
 		Meter:    f,
 		Demand:   f,
-		Closing:  f.closing.Load,
-		Stopping: f.closing.Load,
+		Closing:  isClosing,
+		Stopping: isClosing,
 		Logger:   logger,
 	})
-	f.nodes = append(f.nodes, n)
+	return n
 }
 
 // instances returns all nodes that are listed.
@@ -278,6 +381,21 @@
 	return instances
 }
 
+// membersOf returns a board that lists the nodes of a failure domain.
+func (f *fleet) membersOf(domain string) *blackboard.Board {
+	board := blackboard.New()
+	for _, instance := range f.instances() {
+		if instance.FailureDomain != domain {
+			continue
+		}
+		board.Members.Update(instance.ID, func(m *blackboard.Member) bool {
+			m.FailureDomain = domain
+			return true
+		})
+	}
+	return board
+}
+
 // closeServers closes the nodes' servers for each other's requests.
 func (f *fleet) closeServers() {
 	for _, n := range f.nodes {
--- a/forward/fragile_test.go
+++ b/forward/fragile_test.go
@@ -20,6 +20,9 @@
 	fleet  *fleet
 	id     string
 	domain string
+	// speed is a multiple of the reference speed.
+	speed   float64
+	started time.Time
 
 	// The fleet's lock guards running, isDown, limit and received.
 	running int
@@ -42,25 +45,35 @@
 		fleet:   f,
 		id:      fmt.Sprint("i-", f.started),
 		domain:  domain,
+		speed:   1,
+		started: time.Now(),
 		crashed: make(chan struct{}),
 	}
+	if speeds := f.config.speeds; len(speeds) > 0 {
+		r.speed = speeds[(f.started-1)%len(speeds)]
+	}
 	f.replicas = append(f.replicas, r)
 	f.mu.Unlock()
-	for _, n := range f.nodes {
-		n.board.Upstreams.Add(&blackboard.Upstream{
-			Instance: zinniamast.Instance{
-				ID:            r.id,
-				Service:       "svc",
-				FailureDomain: domain,
-				Address:       "replica.example",
-				Started:       time.Now(),
-			},
-			Replica: n.newClient(r),
-			Slots:   f.config.slots,
-		})
+	for _, n := range f.currentNodes() {
+		n.list(r)
 	}
 }
 
+// list lists a replica at the node.
+func (n *fleetNode) list(r *fragile) {
+	n.board.Upstreams.Add(&blackboard.Upstream{
+		Instance: zinniamast.Instance{
+			ID:            r.id,
+			Service:       "svc",
+			FailureDomain: r.domain,
+			Address:       "replica.example",
+			Started:       r.started,
+		},
+		Replica: n.newClient(r),
+		Slots:   n.fleet.config.slots,
+	})
+}
+
 // culprit returns what lets a request crash its replica: its content or a part of its prompt;
 // empty if nothing does.
 func (f *fleet) culprit(content, prompt string) string {
@@ -87,18 +100,20 @@
 	close(r.crashed)
 	f.crashes[content] = append(f.crashes[content], time.Since(f.start))
 	time.AfterFunc(delistTime, func() {
-		for _, n := range f.nodes {
+		for _, n := range f.currentNodes() {
 			n.board.Upstreams.Remove(r.id)
 		}
 	})
-	time.AfterFunc(replaceTime, func() { f.startReplica(r.domain) })
+	if !f.config.hasNoReplacements {
+		time.AfterFunc(replaceTime, func() { f.startReplica(r.domain) })
+	}
 }
 
 // Close implements zinniamast.Replica.
 func (*fragile) Close() {}
 
 // begin takes a slot for a request, unless the replica is down or full.
-func (r *fragile) begin(culprit string) error {
+func (r *fragile) begin(request, culprit string) error {
 	f := r.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -110,6 +125,9 @@
 		}
 	}
 	r.received = append(r.received, time.Since(f.start))
+	if f.onArrival != nil {
+		f.onArrival(request)
+	}
 	if culprit != "" {
 		f.arrivals[culprit] = append(f.arrivals[culprit], time.Since(f.start))
 	}
@@ -121,6 +139,7 @@
 		return errFull
 	}
 	r.running++
+	f.begun[request]++
 	return nil
 }
 
@@ -197,7 +216,7 @@
 	header.Set("Zinniamast-Request-Id", request.Header.Get("Zinniamast-Request-Id"))
 	culprit := r.fleet.culprit(content, request.Header.Get("Zinniamast-Prompt-Prefix"))
 	r.countInRests(ctx)
-	err = r.begin(culprit)
+	err = r.begin(request.Header.Get("Zinniamast-Request-Id"), culprit)
 	if limit := r.namedLimit(); limit > 0 {
 		header.Set("Server-Limit", fmt.Sprint(limit))
 	}
@@ -232,7 +251,7 @@
 	context.AfterFunc(ctx, func() { _ = writer.CloseWithError(context.Cause(ctx)) })
 	go func() {
 		defer r.end()
-		_ = writer.CloseWithError(r.run(ctx, writer, culprit, after, time.Duration(milliseconds)*time.Millisecond))
+		_ = writer.CloseWithError(r.run(ctx, writer, culprit, after, r.timeFor(time.Duration(milliseconds)*time.Millisecond)))
 	}()
 	header.Set("Zinniamast-Server-Stamp", "stamp-"+r.id)
 	return &http.Response{
@@ -243,6 +262,11 @@
 	}, nil
 }
 
+// timeFor returns the time that the replica takes for a request of a duration at the reference speed.
+func (r *fragile) timeFor(duration time.Duration) time.Duration {
+	return time.Duration(float64(duration) / r.speed)
+}
+
 // run writes the events after a number, spread over a duration, unless the replica crashes.
 func (r *fragile) run(ctx context.Context, w io.Writer, culprit string, after int, duration time.Duration) error {
 	pause := duration / takeoverEvents
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -20,6 +20,7 @@
 	"zinniamast/origin"
 	"zinniamast/prefix"
 	"zinniamast/quarantine"
+	"zinniamast/queue"
 	"zinniamast/routes"
 )
 
@@ -37,6 +38,12 @@
 	AwaitRetry(ctx context.Context, service string, by time.Time) bool
 }
 
+// HedgeBudget bounds the second sends of requests whose first send is only late.
+type HedgeBudget interface {
+	// AllowHedge reports whether one more such send may be made, and counts it if so.
+	AllowHedge(service string) bool
+}
+
 // Allowance limits the requests or tokens of each organisation over all nodes.
 type Allowance interface {
 	// Take takes the amount of a request from the organisation's allowance. If too
@@ -55,6 +62,17 @@
 	// Answered records what a replica said of itself in its answer to a request that was sent
 	// at the given time.
 	Answered(upstream *blackboard.Upstream, sent time.Time, feedback zinniamast.Feedback)
+	// KeepsPlace reports whether another request of this node may have the place of one that has
+	// just ended at a replica.
+	KeepsPlace(upstream *blackboard.Upstream) bool
+	// UnusedPlaces returns the replicas at which this node has places that it does not use. It
+	// returns false if this node has too few places to be bound to them.
+	UnusedPlaces(service string) (replicas []string, ok bool)
+	// Shared returns the replicas of a service at which this node is bound to its part of the
+	// places.
+	Shared(service string) []string
+	// AnsweredThroughPeer is Answered for a request that was sent through another node's place.
+	AnsweredThroughPeer(upstream *blackboard.Upstream, sent time.Time, feedback zinniamast.Feedback)
 }
 
 // Meter counts requests that began to run, for the usage reports.
@@ -92,9 +110,11 @@
 	Router        zinniamast.Router
 	Protocol      Protocol
 	RetryBudget   RetryBudget
-	Allowance     Allowance
-	Throttle      Throttle
-	Quarantine    zinniamast.Quarantine
+	// Hedges bounds the hedges of late streams; nil means that there are none.
+	Hedges     HedgeBudget
+	Allowance  Allowance
+	Throttle   Throttle
+	Quarantine zinniamast.Quarantine
 	// Parts holds back requests by the parts of their prompts; nil means that this node alone
 	// finds those that crash replicas.
 	Parts zinniamast.PartQuarantine
@@ -102,8 +122,12 @@
 	Origins Origins
 	// Rollouts are the rollouts of software versions; nil means that there are none.
 	Rollouts Rollouts
-	Meter    Meter
-	Demand   Demand
+	// Detours sends requests that have no place here through other nodes; nil means none.
+	Detours Detours
+	// Queue holds the requests that no replica has a place for; nil means one of this node alone.
+	Queue  *queue.Queue
+	Meter  Meter
+	Demand Demand
 	// Closing reports whether the node is stopping and refuses new requests.
 	Closing func() bool
 	// Stopping reports whether the node is about to stop. Each connection is then
@@ -135,6 +159,12 @@
 	if config.Parts == nil {
 		config.Parts = quarantine.NewParts(quarantine.PartsConfig{})
 	}
+	if config.Detours == nil {
+		config.Detours = noDetours{}
+	}
+	if config.Queue == nil {
+		config.Queue = queue.New(queue.Config{})
+	}
 	return &Handler{
 		config:  config,
 		metrics: newMetrics(config.Registerer),
@@ -249,12 +279,11 @@
 	// dials the failed connection attempts.
 	arrivals int
 	dials    int
+	// detours counts the nodes that were asked for a place.
+	detours int
 	// ran tells whether the request has run, judging by all sends so far.
-	ran zinniamast.Ran
-	// mayGetPlace reports whether a replica that had no room for the request may soon have, and
-	// placeWaits counts the waits for that.
-	mayGetPlace bool
-	placeWaits  int
+	ran   zinniamast.Ran
+	place place
 	// owesRetry reports whether the next send must be charged to the retry budget.
 	owesRetry bool
 	// metSilence reports whether a replica was silent since the last event. resumeWaits
@@ -454,33 +483,6 @@
 	return zinniamast.Refuse(zinniamast.ReasonOverShare, "the allowance is used up").WithRetryAfter(wait)
 }
 
-// hopByHop lists the headers that apply to a single connection.
-var hopByHop = []string{
-	"Connection",
-	"Proxy-Connection",
-	"Keep-Alive",
-	"Proxy-Authenticate",
-	"Proxy-Authorization",
-	"Te",
-	"Trailer",
-	"Transfer-Encoding",
-	"Upgrade",
-	"Expect",
-}
-
-// dropHopByHop removes the hop-by-hop headers, including those that the Connection
-// header lists.
-func dropHopByHop(h http.Header) {
-	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-}
-
 // addAvoided adds a replica to those that must not get the request again.
 func (c *call) addAvoided(id string) {
 	if !slices.Contains(c.avoid, id) {
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -12,6 +12,7 @@
 	brokenOff    *prometheus.CounterVec
 	retried      *prometheus.CounterVec
 	takeovers    *prometheus.CounterVec
+	hedged       prometheus.Counter
 	timeToFirst  prometheus.Histogram
 	longestPause prometheus.Histogram
 	timeToSend   prometheus.Histogram
@@ -59,6 +60,10 @@
 			Name: "zinniamast_forward_takeovers_total",
 			Help: "Requests sent to a second replica while the first was silent, by outcome: done, failed, or withdrawn as the first continued.",
 		}, []string{"outcome"}),
+		hedged: factory.NewCounter(prometheus.CounterOpts{
+			Name: "zinniamast_forward_hedged_total",
+			Help: "Streams sent to a second replica because their first event was late.",
+		}),
 		timeToFirst: factory.NewHistogram(prometheus.HistogramOpts{
 			Name:    "zinniamast_forward_first_seconds",
 			Help:    "Time from a request's arrival to the first byte of its answer.",
--- a/forward/partition_test.go
+++ b/forward/partition_test.go
@@ -264,10 +264,6 @@
 		changed: make(chan struct{}),
 		idle:    map[string]int{},
 	}
-	n.relays = &pipeListener{
-		conns:  make(chan net.Conn),
-		closed: make(chan struct{}),
-	}
 	n.egress = egress.New(egress.Config{
 		FailureDomain: domain,
 		Upstreams:     n.board.Upstreams,
@@ -277,7 +273,12 @@
 			Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
 				for _, other := range f.nodes {
 					if other.name+":80" == address {
-						return other.relays.dial(ctx)
+						if n.hasSilentLinks.Load() || other.hasSilentLinks.Load() {
+							time.Sleep(dialTimeout)
+							return nil, errors.New("i/o timeout")
+						}
+						conn, err := other.listener().dial(ctx)
+						return newSilenceable(conn, n, other), err
 					}
 				}
 				return nil, errors.New("no such node")
@@ -289,12 +290,16 @@
 		OnRelayed: func(upstream *blackboard.Upstream, response *http.Response) {
 			n.throttle.Relayed(upstream, platform.Headers{}.ReadResponse(response).Feedback)
 		},
+		Closing: func() bool { return n.leaves.Load() },
+		Holders: func(upstream *blackboard.Upstream) []string {
+			return n.owners.Holders(upstream.Instance.ID, upstream.Slots)
+		},
+		TakePlace: func(upstream *blackboard.Upstream) (*egress.Place, string) {
+			return takePlace(currentThrottle{n}.current(), n.queue, upstream)
+		},
 		Logger: logger,
 	})
-	n.server = &http.Server{
-		Handler: n.egress,
-	}
-	go func() { _ = n.server.Serve(n.relays) }()
+	n.serveRelays()
 }
 
 // peers returns the other nodes.
--- a/forward/rest_test.go
+++ b/forward/rest_test.go
@@ -26,6 +26,9 @@
 type resting struct {
 	// whenFull is what a replica without a free slot asks for; zero for nothing.
 	whenFull time.Duration
+	// slots is the number of requests that a replica takes at once meanwhile; zero for all of
+	// its listed slots.
+	slots int
 	// shedding are the replicas that take nothing and ask for whenShedding.
 	shedding     []string
 	whenShedding time.Duration
@@ -117,6 +120,10 @@
 				hasPaths: isCut,
 			}),
 		}
+		if rest.slots > 0 {
+			time.AfterFunc(restFrom, func() { w.setBrittleness(nil, rest.slots) })
+			time.AfterFunc(restUntil, func() { w.setBrittleness(nil, 8) })
+		}
 		time.AfterFunc(restFrom, func() { w.setRest(&rest) })
 		time.AfterFunc(restUntil, func() { w.setRest(nil) })
 		if isCut {
@@ -153,19 +160,60 @@
 	for name, rest := range map[string]resting{"full": full, "shedding": shedding} {
 		for seed := uint64(1); seed <= 4; seed++ {
 			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
-				check := is.New(t)
-				rests, broken, served := playRest(t, seed, rest, false)
-				silent := rest
-				silent.whenFull, silent.whenShedding = 0, 0
-				_, _, servedWithout := playRest(t, seed, silent, false)
-				t.Logf("%d of %d rests broken; %.3f served, %.3f by replicas that ask for none", broken, rests, served, servedWithout)
-				check.Equal(broken, 0)
-				check.True(served >= 0.95*servedWithout)
+				playRestsAgainstNone(t, seed, rest)
 			})
 		}
 	}
 }
 
+// Guards against nodes that find room by being rejected, where each rejection by a healthy replica keeps them from it for seconds.
+func TestReplicasThatAskForRestWhenFullAreUsed(t *testing.T) {
+	third := []string{"i-1", "i-2", "i-3"}
+	for name, rest := range map[string]resting{
+		"full for 2 s": {
+			whenFull: 2 * time.Second,
+		},
+		"full for 5 s": {
+			whenFull: 5 * time.Second,
+		},
+		"full with five of eight slots for 2 s": {
+			whenFull: 2 * time.Second,
+			slots:    5,
+		},
+		"full with five of eight slots for 5 s": {
+			whenFull: 5 * time.Second,
+			slots:    5,
+		},
+		"full or shedding for 1 s": {
+			whenFull:     time.Second,
+			shedding:     third,
+			whenShedding: time.Second,
+		},
+		"full or shedding for 5 s": {
+			whenFull:     5 * time.Second,
+			shedding:     third,
+			whenShedding: 5 * time.Second,
+		},
+	} {
+		for seed := uint64(1); seed <= 4; seed++ {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) { playRestsAgainstNone(t, seed, rest) })
+		}
+	}
+}
+
+// playRestsAgainstNone plays replicas that ask for rest, and the same ones without, and checks that no
+// rest is broken and that nearly as many requests are served.
+func playRestsAgainstNone(t *testing.T, seed uint64, rest resting) {
+	check := is.New(t)
+	rests, broken, served := playRest(t, seed, rest, false)
+	silent := rest
+	silent.whenFull, silent.whenShedding = 0, 0
+	_, _, servedWithout := playRest(t, seed, silent, false)
+	t.Logf("%d of %d rests broken; %.3f served, %.3f by replicas that ask for none, ratio %.3f", broken, rests, served, servedWithout, served/servedWithout)
+	check.Equal(broken, 0)
+	check.True(served >= 0.95*servedWithout)
+}
+
 // Guards against requests that an instance relays for another one into a rest that was asked of itself.
 func TestRelayedRequestsKeepRests(t *testing.T) {
 	shedding := resting{
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -39,13 +39,23 @@
 // nextReplica returns the replica for the next send of a request and charges the retry
 // budget if the send is a retry. A begun stream may wait for both.
 func (h *Handler) nextReplica(ctx context.Context, a *answer, c *call) (routed, *zinniamast.Refusal) {
+	defer h.logWaited(c)
 	for {
 		if refusal := h.recheck(c); refusal != nil {
 			return routed{}, refusal
 		}
+		if refusal := h.awaitTurn(ctx, a, c); refusal != nil {
+			return routed{}, refusal
+		}
 		to, refusal := h.chooseApart(c)
+		if refusal != nil {
+			if detour, ok := h.chooseDetour(a, c); ok {
+				to, refusal = detour, nil
+			}
+		}
 		switch {
-		case refusal != nil && h.awaitPlace(ctx, c):
+		case refusal != nil && c.place.mayWait && c.place.isLacking:
+			c.place.mustWait = true
 			continue
 		case refusal != nil && !(c.mayResume(a) && h.hasReplica(c)):
 			return routed{}, refusal
@@ -55,6 +65,9 @@
 			return routed{}, zinniamast.Refuse(zinniamast.ReasonDeadlineUnmet, "no replica resumes the stream in time")
 		case h.chargeRetry(c):
 			return to, nil
+		case c.place.mayWait && h.mayRetryInTime(c):
+			c.place.mustWait = true
+			continue
 		default:
 			refusal = h.awaitRetry(ctx, a, c)
 		}
@@ -64,31 +77,6 @@
 	}
 }
 
-const (
-	// placeInterval is the wait for a place at a replica that had no room for a request, which
-	// is repeated at most maxPlaceWaits times and takes at most a third of the first-token
-	// target: the places of a node become free many times a second.
-	placeInterval = 50 * time.Millisecond
-	maxPlaceWaits = 6
-	placeTargets  = 3
-)
-
-// awaitPlace waits a moment for a request that no replica has a place for, if one of this node's
-// own requests may free one soon. It returns false if the request should not wait (any longer).
-func (h *Handler) awaitPlace(ctx context.Context, c *call) bool {
-	waited := time.Duration(c.placeWaits+1) * placeInterval
-	if !c.mayGetPlace || c.placeWaits >= maxPlaceWaits || waited > c.route.Target/placeTargets {
-		return false
-	}
-	c.placeWaits++
-	select {
-	case <-time.After(placeInterval):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // hasReplica reports whether the service has a replica for the request, be it one that the
 // request avoids or that takes none at the moment.
 func (h *Handler) hasReplica(c *call) bool {
--- a/forward/run.go
+++ b/forward/run.go
@@ -37,6 +37,9 @@
 	h.config.RetryBudget.Started(c.service)
 	h.config.Demand.RequestStarted(c.service, c.metadata.PromptTokens)
 	defer h.config.Demand.RequestEnded(c.service)
+	h.enterQueue(c)
+	defer c.place.entry.Ended()
+	defer c.place.entry.Leave()
 	a := &answer{
 		writer: w,
 	}
@@ -89,7 +92,7 @@
 
 // recordRetry counts and logs that a request goes on at another replica after a failure.
 func (h *Handler) recordRetry(ctx context.Context, a *answer, c *call, failure *zinniamast.UpstreamError) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || failure.Failure == zinniamast.FailureNoPlace {
 		return
 	}
 	h.metrics.retried.WithLabelValues(string(failure.Failure)).Inc()
@@ -109,7 +112,9 @@
 		switch {
 		case failure == nil || failure.Cause == errPanicked:
 			t.withdraw()
-		case left && failure.Failure != zinniamast.FailureDial:
+		case left && s.isOvertaken:
+			failure.Failure = zinniamast.FailureStopped
+		case left && !failure.WasUnsent():
 			failure.Failure = zinniamast.FailureTimeout
 		}
 		if left && slices.ContainsFunc(t.pending, (*send).hasBegun) {
@@ -133,11 +138,18 @@
 func (t *takeover) recordFailure(s *send, failure *zinniamast.UpstreamError) {
 	c := t.call
 	c.failure = failure
+	if failure.Failure == zinniamast.FailureNoPlace {
+		return // the replica may have a place for the request on another way
+	}
 	c.addAvoided(failure.Upstream)
 	switch failure.Failure {
 	case zinniamast.FailureDial:
 		c.dials++
 		t.avoidOtherDomains()
+	case zinniamast.FailureRefused:
+		if s.isRejected {
+			c.place.recordRejection(failure.Upstream)
+		}
 	case zinniamast.FailureError:
 		if s.plain != nil {
 			c.failedAnswer = s.plain
@@ -166,7 +178,7 @@
 		return
 	}
 	// A send to a replica that has become unreachable does not use up an attempt.
-	wasReachable := failure.Failure != zinniamast.FailureDial && failure.Failure != zinniamast.FailurePath
+	wasReachable := !failure.WasUnsent() && failure.Failure != zinniamast.FailurePath
 	if wasReachable {
 		c.arrivals++
 	}
@@ -201,7 +213,7 @@
 		c.owesRetry = true
 		return zinniamast.Refuse(zinniamast.ReasonNoUpstream, "no replica takes connections").WithRan(c.ran).WithRetryAfter(noReplicaRetryAfter)
 	}
-	if failure.Failure == zinniamast.FailureDial {
+	if failure.WasUnsent() {
 		return nil
 	}
 	c.owesRetry = true
@@ -213,6 +225,10 @@
 		// The caller already has a part of this answer, and only a stream can be resumed.
 		return h.failedRefusal(c)
 	}
+	if c.arrivals >= maxArrivals && failure.Failure == zinniamast.FailureRefused && c.mayQueue(a) {
+		c.place.mustWait = true
+		return nil
+	}
 	if ran != zinniamast.NotRun && c.sends >= c.route.MaxAttempts || c.arrivals >= maxArrivals {
 		return h.failedRefusal(c)
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -23,6 +23,8 @@
 // send is one send of a request to a replica.
 type send struct {
 	upstream *blackboard.Upstream
+	// detour is the way through another node; empty if this node sends the request itself.
+	detour zinniamast.Detour
 	// attempt identifies the send to the router.
 	attempt string
 	started time.Time
@@ -50,6 +52,11 @@
 	silent        bool
 	followsAnswer bool
 
+	// isOvertaken reports whether another replica has begun to answer while this one was late.
+	isOvertaken bool
+	// isRejected reports whether the replica had no place for the request.
+	isRejected bool
+
 	response *http.Response
 	// stream reads a stream, and firstEvents is the data that its first read returned.
 	// plain is an answer that is not a stream, or the start of a large one.
@@ -69,6 +76,8 @@
 type routed struct {
 	upstream *blackboard.Upstream
 	choice   zinniamast.Choice
+	// detour is the way through another node; empty if this node sends the request itself.
+	detour zinniamast.Detour
 }
 
 // choose asks the router for the next replica, among those to which a rollout lets the
@@ -93,9 +102,24 @@
 // chooseSelected asks the router for the next replica among the selected ones.
 func (h *Handler) chooseSelected(c *call, avoid []string) (routed, *zinniamast.Refusal) {
 	available := h.config.Throttle.Limited(c.service)
-	c.mayGetPlace = available.FreesPlace
+	c.place.isLacking = c.lacksPlace(available)
+	avoid = c.place.withoutRejecting(avoid)
+	if to, ok := h.chooseFreed(c, slices.Concat(avoid, available.Blocked)); ok {
+		return to, nil
+	}
 	avoid = slices.Concat(avoid, available.Blocked)
 	withoutSpare := slices.Concat(avoid, available.Spare)
+	if c.place.mayWait {
+		avoid = slices.Concat(avoid, available.Full)
+	}
+	to, ok, mayTry := h.chooseOwn(c, avoid)
+	if ok {
+		return to, nil
+	}
+	if !mayTry {
+		c.place.isLacking = true
+		return routed{}, zinniamast.Refuse(zinniamast.ReasonNoCapacity, "no replica has a place").WithRetryAfter(fullRetryAfter)
+	}
 	if to, ok := h.chooseDue(c, withoutSpare, available.Due); ok {
 		return to, nil
 	}
@@ -170,11 +194,13 @@
 // the replica may not get the request, as others were sent since it was chosen.
 func (h *Handler) newSend(ctx context.Context, c *call, a *answer, to routed) *send {
 	upstream, choice := to.upstream, to.choice
-	if !h.config.Throttle.Begin(upstream) {
+	if to.detour.Node == "" && !h.config.Throttle.Begin(upstream) {
 		return nil
 	}
+	c.place.sent()
 	s := &send{
 		upstream:     upstream,
+		detour:       to.detour,
 		attempt:      c.metadata.ID,
 		started:      time.Now(),
 		after:        string(a.lastID),
@@ -196,7 +222,7 @@
 	h.config.Demand.AddWork(c.service, choice.Work)
 	h.config.Logger.Info("sending request to replica", "request", c.metadata.ID, "service", c.service, "organisation", c.organisationName(),
 		"config", c.configVersion, "fingerprint", quarantine.Fingerprint(c.fingerprint), "suspect", c.isSuspect, "priority", c.priority, "prompt_tokens", c.metadata.PromptTokens, "prompt_parts", c.loggedParts(), "replica", choice.Upstream,
-		"failure_domain", upstream.Instance.FailureDomain, "version", upstream.Instance.Version, "resumes", c.metadata.Resumes, "after", s.lastEvent(c), "running_here", upstream.Inflight()-1,
+		"failure_domain", upstream.Instance.FailureDomain, "version", upstream.Instance.Version, "resumes", c.metadata.Resumes, "after", s.lastEvent(c), "running_here", upstream.Inflight()-1, "through", s.detour.Node,
 		"predicted_first", choice.FirstToken.Round(time.Millisecond), "cached", choice.CachedTokens, "fetch_from", choice.FetchFrom,
 		"left", time.Until(c.deadline).Round(time.Millisecond))
 	h.config.Quarantine.AttemptStarted(upstream.Instance.ID, c.fingerprint)
@@ -216,7 +242,7 @@
 	s.stream.free()
 	c.countSend(failure)
 	id := s.upstream.Instance.ID
-	defer s.upstream.EndAttempt()
+	defer h.endPlace(ctx, c, s, failure)
 	defer func() { h.observeVersionEnd(c, s, failure, events) }()
 	isAnswered := failure == nil && s.response.StatusCode < http.StatusInternalServerError
 	defer h.config.Quarantine.AttemptEnded(id, c.fingerprint, isAnswered)
@@ -225,7 +251,7 @@
 		h.observe(c, s, zinniamast.ObservedEnd, time.Since(s.started), "", events)
 		return
 	}
-	if ctx.Err() != nil && failure.Failure != zinniamast.FailureDial {
+	if ctx.Err() != nil && !failure.WasUnsent() {
 		failure.Failure = zinniamast.FailureStopped
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			failure.Failure = zinniamast.FailureTimeout
@@ -304,7 +330,7 @@
 	if c.route.Repeatable() {
 		ctx = zinniamast.WithRepeatable(ctx)
 	}
-	s.response, err = s.upstream.Replica.Send(ctx, request)
+	s.response, err = h.sendTo(ctx, s, request)
 	if err != nil {
 		return zinniamast.AsUpstreamError(err)
 	}
@@ -319,9 +345,10 @@
 		return upstreamError(s.upstream, zinniamast.FailureWrongAttempt, fmt.Errorf("forward: answer belongs to request %q", reply.ID))
 	}
 	if reply.Signed || reply.NotRun && !reply.WrongInstance {
-		h.config.Throttle.Answered(s.upstream, s.started, reply.Feedback)
+		h.recordFeedback(s, reply.Feedback)
 	}
 	if reply.NotRun {
+		s.isRejected = reply.Feedback.Rejected
 		if reply.WrongInstance && h.config.Upstreams.MarkLeaving(s.upstream.Instance.ID, time.Time{}) {
 			h.config.Logger.Info("replica marked as leaving", "replica", s.upstream.Instance.ID, "sign", "another instance answers")
 		}
--- a/forward/stage_test.go
+++ b/forward/stage_test.go
@@ -70,6 +70,8 @@
 	speaks time.Duration
 	next   reaction
 	last   reaction
+	// hedges bounds the hedges of late streams; nil means that there are none.
+	hedges forward.HedgeBudget
 	// goesOn is the time at which a replica with the reaction pauses sends the rest.
 	goesOn time.Duration
 
@@ -189,6 +191,7 @@
 		Router:        router,
 		Protocol:      platform.Headers{},
 		RetryBudget:   s,
+		Hedges:        s.hedges,
 		Allowance:     s,
 		Throttle: throttle.New(throttle.Config{
 			Upstreams: s.upstreams,
--- a/forward/takeover.go
+++ b/forward/takeover.go
@@ -44,6 +44,9 @@
 // follow makes a send the current one and starts its silence watch.
 func (t *takeover) follow(s *send) {
 	timeouts := silenceTimeoutsOf(t.call)
+	if delay, ok := t.handler.hedgeDelay(t.call); ok && !t.answer.begun {
+		timeouts.first = min(timeouts.first, delay)
+	}
 	if timeouts.first > 0 && !s.hasBegun() {
 		timeouts.first = max(timeouts.first-time.Since(s.started), time.Millisecond)
 	}
@@ -71,8 +74,13 @@
 	if t.ctx.Err() != nil {
 		return false
 	}
-	c.metSilence = true
 	t.dropFailed()
+	if t.isOnlyLate() {
+		t.hedge()
+		t.current.isOvertaken = slices.ContainsFunc(t.pending, (*send).hasBegun)
+		return t.current.isOvertaken
+	}
+	c.metSilence = true
 	if slices.ContainsFunc(t.pending, (*send).hasBegun) {
 		return true
 	}
@@ -87,6 +95,32 @@
 	return t.current.followsAnswer
 }
 
+// isOnlyLate reports whether the replica has not begun to answer, but is not silent yet.
+func (t *takeover) isOnlyLate() bool {
+	_, mayHedge := t.handler.hedgeDelay(t.call)
+	return mayHedge && !t.answer.begun && time.Since(t.current.started) < silenceTimeoutsOf(t.call).first
+}
+
+// hedge sends a request whose first event is late to a second replica, if that is predicted to
+// meet the target there and no request waits for a place.
+//
+// Reports of a replica's load are older than a prompt takes, so that several nodes may send long
+// prompts to the same replica at once. The second choice knows more.
+func (t *takeover) hedge() {
+	h, c := t.handler, t.call
+	if len(t.pending) > 0 || c.sendsStarted > 1 || c.sends+1 >= c.route.MaxAttempts || h.config.Queue.IsShort(c.service) {
+		return
+	}
+	if h.recheck(c) != nil || c.isSuspect {
+		return
+	}
+	to, refusal := h.choose(c, t.avoided())
+	left := c.route.Target - time.Since(c.arrived)
+	if refusal == nil && to.choice.FirstToken <= left && h.config.Hedges.AllowHedge(c.service) {
+		t.start(to)
+	}
+}
+
 // choose returns a replica for a further send beside those in progress, and charges the
 // retry budget for it. The replica must be predicted to send the first token before it
 // would count as silent itself. The router is asked only if the budget has a retry left.
@@ -146,13 +180,19 @@
 	if s == nil {
 		return
 	}
-	if !t.current.silent {
+	isLate := t.isOnlyLate()
+	message := "replica is silent, request sent to another"
+	if isLate {
+		message = "replica is late, request sent to another"
+		h.metrics.hedged.Inc()
+	}
+	if !t.current.silent && !isLate {
 		t.current.silent = true
 		h.observe(c, t.current, zinniamast.ObservedSilent, time.Since(t.current.started), zinniamast.FailureTimeout, 0)
 	}
 	s.ready = make(chan struct{})
 	t.pending = append(t.pending, s)
-	h.config.Logger.Warn("replica is silent, request sent to another", "request", c.metadata.ID, "service", c.service,
+	h.config.Logger.Warn(message, "request", c.metadata.ID, "service", c.service,
 		"replica", t.current.upstream.Instance.ID, "next_replica", s.upstream.Instance.ID, "predicted_first", to.choice.FirstToken.Round(time.Millisecond),
 		"sends", c.sends, "arrivals", c.arrivals, "after", s.after, "left", c.remaining())
 	go func() {
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -20,6 +20,17 @@
 	minPauseTimeout     = time.Second
 )
 
+// minHedgeDelay is the shortest time after which a stream that has not begun is sent to a second
+// replica. Shorter targets leave no time for that.
+const minHedgeDelay = 200 * time.Millisecond
+
+// hedgeDelay returns the time after which a stream that has not begun is sent to a second replica,
+// so that its first event can still meet the target; false if it is not.
+func (h *Handler) hedgeDelay(c *call) (time.Duration, bool) {
+	delay := c.route.Target / 2
+	return delay, h.config.Hedges != nil && c.route.Kind == routes.Stream && c.route.Prompted && c.route.Repeatable() && delay >= minHedgeDelay
+}
+
 // silenceTimeouts bound how long a replica may send nothing. Zero means no bound.
 type silenceTimeouts struct {
 	// first bounds the wait for the first byte, and pause the wait for each further
--- a/gossip.go
+++ b/gossip.go
@@ -28,6 +28,9 @@
 	TopicDemand Topic = "demand"
 	// TopicLoad reports one node's in-flight requests at upstreams.
 	TopicLoad Topic = "load"
+	// TopicQueue reports the work that a node, the key, is asked for at services whose capacity is
+	// short.
+	TopicQueue Topic = "queue"
 	// TopicRollout reports how far a rollout of a software version is. The key is the service.
 	TopicRollout Topic = "rollout"
 	// TopicVersionVerdict reports a software version that proved bad. The key is the service.
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -2,13 +2,12 @@
 // answer can meet its deadline, its organisation stays within its share, and the
 // node has memory for it.
 //
-// One lock guards the usage counts. It is held for microseconds and never
+// One lock guards the accounts of usage. It is held for microseconds and never
 // during a call to another package.
 package limits
 
 import (
 	"log/slog"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,13 +65,9 @@
 	config  Config
 	metrics *metrics
 	memory  atomic.Int64
-
-	mu            sync.Mutex
-	usage         usage
-	cachedWeights weightTable
-	// nextUsage is when usage is published next. Only Run's goroutine accesses it,
-	// without the lock.
-	nextUsage time.Time
+	recent  recentRefusals
+	// accounts is the organisations' usage, in seconds of compute time.
+	accounts *Accounts
 }
 
 var _ zinniamast.Limiter = (*Limiter)(nil)
@@ -82,10 +77,15 @@
 	config.setDefaults()
 	l := &Limiter{
 		config: config,
-		usage:  newUsage(),
+		accounts: NewAccounts(AccountsConfig{
+			Board:         config.Board,
+			Node:          config.Node,
+			FailureDomain: config.FailureDomain,
+			Gossip:        config.Gossip,
+			Now:           config.Now,
+		}),
 	}
 	l.metrics = newMetrics(config.Registerer, &l.memory)
-	l.subscribe()
 	return l
 }
 
@@ -123,6 +123,7 @@
 
 func (l *Limiter) refuse(ask *zinniamast.Admission, refusal *zinniamast.Refusal) *zinniamast.Refusal {
 	l.metrics.decisions.WithLabelValues(string(refusal.Reason)).Inc()
+	l.recent.add(ask, refusal.Reason, l.config.Now())
 	l.config.Logger.Debug("request not admitted", "organisation", ask.Organisation, "service", ask.Service,
 		"class", ask.Class, "reason", string(refusal.Reason), "retry_after", refusal.RetryAfter.String())
 	return refusal
--- a/limits/pool.go
+++ b/limits/pool.go
@@ -42,6 +42,13 @@
 	tokens   float64
 	filledAt time.Time
 	loans    map[string]loan
+	// counted and pending are the sums of the parts that count at filledAt and of those that
+	// begin later, countedLoans is the number of the former.
+	counted, pending float64
+	countedLoans     int
+	// nextChange is no later than the next time at which a loan begins or expires. Until then
+	// the sums hold, so that a request does not look at the loans of all nodes.
+	nextChange time.Time
 	// reserve is the remaining tolerance for parts that do not count anywhere yet
 	// and, in a domain pool, for all parts.
 	reserve float64
@@ -104,7 +111,7 @@
 	p.refill(b, o, now)
 	b.renew(ask, now)
 	p.credit(b, o, ask)
-	part := b.countedPart(now)
+	part := b.counted
 	if ask.Amount <= b.reserve {
 		b.reserve -= ask.Amount
 		return PoolAnswer{
@@ -148,14 +155,34 @@
 // its start counts nowhere.
 func (b *bucket) renew(ask PoolRequest, now time.Time) {
 	from := now.Add(ask.Starts)
-	if old, ok := b.loans[ask.Node]; ok && ask.Starts == 0 {
-		from = old.from
+	if old, ok := b.loans[ask.Node]; ok {
+		b.sum(old, now, -1)
+		if ask.Starts == 0 {
+			from = old.from
+		}
 	}
-	b.loans[ask.Node] = loan{
+	l := loan{
 		part:  ask.Part,
 		from:  from,
 		until: now.Add(poolLease),
 	}
+	b.loans[ask.Node] = l
+	b.sum(l, now, 1)
+}
+
+// sum adds a loan to the sums (sign 1) or takes it out (sign -1).
+func (b *bucket) sum(l loan, now time.Time, sign int) {
+	if l.from.After(now) {
+		b.pending += float64(sign) * l.part
+		b.nextChange = earlier(b.nextChange, l.from)
+	} else {
+		b.counted += float64(sign) * l.part
+		b.countedLoans += sign
+	}
+	if b.countedLoans == 0 {
+		b.counted = 0 // differences of sums leave a remainder
+	}
+	b.nextChange = earlier(b.nextChange, l.until)
 }
 
 // credit adds initial tokens for a part that is lent here for the first time.
@@ -176,20 +203,27 @@
 	b.tokens += credit
 }
 
-// countedPart returns the sum of the parts that count here at the given time.
-func (b *bucket) countedPart(now time.Time) float64 {
-	total := 0.0
-	for _, l := range b.loans {
-		if !now.Before(l.from) {
-			total += l.part
-		}
+// refill adds the tokens accrued since the last call and deletes expired loans.
+func (p *Pool) refill(b *bucket, o *routes.Organisation, now time.Time) {
+	if now.Before(b.nextChange) {
+		b.tokens += o.Rate * b.counted * max(0, now.Sub(b.filledAt).Seconds())
+	} else {
+		b.refillByLoan(o, now)
+	}
+	reserved := b.pending
+	if p.config.IsDomainPool {
+		reserved += b.counted
 	}
-	return total
+	maxReserve := domainPoolTolerance * p.config.Tolerance.excess(o) * reserved
+	b.reserve = min(maxReserve, b.reserve+maxReserve*now.Sub(b.filledAt).Seconds()/p.config.Tolerance.Window.Seconds())
+	b.filledAt = now
+	b.tokens = min(b.tokens, p.burst(o)*b.counted)
 }
 
-// refill adds the tokens accrued since the last call and deletes expired loans.
-func (p *Pool) refill(b *bucket, o *routes.Organisation, now time.Time) {
-	reserved := 0.0
+// refillByLoan adds the tokens of each loan since the last call and sums the loans that remain.
+func (b *bucket) refillByLoan(o *routes.Organisation, now time.Time) {
+	b.counted, b.pending, b.countedLoans = 0, 0, 0
+	b.nextChange = now.Add(poolLease)
 	for node, l := range b.loans {
 		from, until := later(b.filledAt, l.from), earlier(now, l.until)
 		b.tokens += o.Rate * l.part * max(0, until.Sub(from).Seconds())
@@ -197,14 +231,8 @@
 			delete(b.loans, node)
 			continue
 		}
-		if p.config.IsDomainPool || l.from.After(now) {
-			reserved += l.part
-		}
+		b.sum(l, now, 1)
 	}
-	maxReserve := domainPoolTolerance * p.config.Tolerance.excess(o) * reserved
-	b.reserve = min(maxReserve, b.reserve+maxReserve*now.Sub(b.filledAt).Seconds()/p.config.Tolerance.Window.Seconds())
-	b.filledAt = now
-	b.tokens = min(b.tokens, p.burst(o)*b.countedPart(now))
 }
 
 // burst returns the capacity of a bucket to which the whole allowance is lent.
--- a/limits/run.go
+++ b/limits/run.go
@@ -23,4 +23,4 @@
 }
 
 // Tick publishes usage if it is due; Run calls it every tickInterval.
-func (l *Limiter) Tick() { l.publishUsage(l.config.Now()) }
+func (l *Limiter) Tick() { l.accounts.Tick() }
--- a/limits/usage.go
+++ b/limits/usage.go
@@ -133,6 +133,15 @@
 	return all
 }
 
+// admittedTo returns the work that all nodes admitted to an account.
+func (u *usage) admittedTo(key accountKey, hash uint64) float64 {
+	work := u.remote.sums[hash].admitted
+	if a, ok := u.accounts[key]; ok {
+		work += sum(a.admitted)
+	}
+	return work
+}
+
 // noteLongWait records that requests of a class have a long wait at a service.
 func (u *usage) noteLongWait(service string, class int, now time.Time) {
 	times, ok := u.longWaits[service]
--- a/limits/wait.go
+++ b/limits/wait.go
@@ -39,13 +39,16 @@
 // then refused first.
 func (l *Limiter) checkShare(ask *zinniamast.Admission, forecast *Forecast, now time.Time) *zinniamast.Refusal {
 	maxWait := maxWaitFor(ask, now)
-	weights := l.weights(ask.Service)
+	weights := l.accounts.weights(ask.Service)
 	class := classIndex(ask.Priority)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	u := &l.usage
+	l.accounts.mu.Lock()
+	defer l.accounts.mu.Unlock()
+	u := &l.accounts.usage
 	u.decay(now)
-	account := l.account(ask)
+	account := u.account(accountKey{
+		service:      ask.Service,
+		organisation: ask.Organisation,
+	})
 	work := forecast.Work.Seconds()
 	account.offered[class] += work
 	isCapacityShort := forecast.Wait > maxWait/2
@@ -83,10 +86,3 @@
 	return zinniamast.Refuse(zinniamast.ReasonNoCapacity,
 		"the request would wait %s", forecast.Wait.Round(time.Millisecond)).WithRetryAfter(roundUpRetryAfter(over))
 }
-
-func (l *Limiter) account(ask *zinniamast.Admission) *account {
-	return l.usage.account(accountKey{
-		service:      ask.Service,
-		organisation: ask.Organisation,
-	})
-}
--- a/limits/weights.go
+++ b/limits/weights.go
@@ -16,11 +16,11 @@
 }
 
 // weights returns the weights of a service's organisations by account hash.
-func (l *Limiter) weights(service string) map[uint64]float64 {
-	t := &l.cachedWeights
+func (a *Accounts) weights(service string) map[uint64]float64 {
+	t := &a.cachedWeights
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	version := l.config.Board.Configuration.Current()
+	version := a.config.Board.Configuration.Current()
 	if t.services == nil || t.version != version {
 		t.version = version
 		t.services = map[string]map[uint64]float64{}
@@ -29,19 +29,19 @@
 	if ok {
 		return weights
 	}
-	weights = l.resolveWeights(service)
+	weights = a.resolveWeights(service)
 	t.services[service] = weights
 	return weights
 }
 
-func (l *Limiter) resolveWeights(service string) map[uint64]float64 {
-	current := l.config.Board.Configuration.Config()
+func (a *Accounts) resolveWeights(service string) map[uint64]float64 {
+	current := a.config.Board.Configuration.Config()
 	weights := map[uint64]float64{}
 	for _, organisation := range current.Organisations {
 		match := config.Match{
 			Organisation:  organisation.Name,
 			Model:         service,
-			FailureDomain: l.config.FailureDomain,
+			FailureDomain: a.config.FailureDomain,
 		}
 		weights[hashAccount(service, organisation.Name)] = current.Resolve(match).Share
 	}
--- a/node/table.go
+++ b/node/table.go
@@ -120,6 +120,7 @@
 		Held:          n.quarantinedRequests,
 		Free:          n.freeRequest,
 		Refusals:      n.refusals,
+		Scarcity:      n.scarcity,
 		Resolve: func(ctx context.Context, d operator.ResolveArgs) error {
 			return n.claims.Resolve(ctx, d.Organisation, d.Service, d.Key, d.Ran, d.By)
 		},
--- a/operator/receiver.go
+++ b/operator/receiver.go
@@ -45,6 +45,8 @@
 	// Held returns the quarantined requests, and Free releases one of them.
 	Held func() []HeldRequest
 	Free func(free FreeArgs) error
+	// Scarcity returns the recent refusals and the shares.
+	Scarcity func() (refused []RefusedRequests, shares []Share)
 	// Refusals returns the number of refusals by reason.
 	Refusals func() map[string]uint64
 	// Explain returns the history of a request as text, for status -why.
@@ -188,6 +190,9 @@
 	if r.config.Refusals != nil {
 		reply.Refusals = r.config.Refusals()
 	}
+	if r.config.Scarcity != nil {
+		reply.RefusedRecently, reply.Shares = r.config.Scarcity()
+	}
 	if r.config.Held != nil {
 		reply.Held = r.config.Held()
 	}
--- a/operator/status.go
+++ b/operator/status.go
@@ -28,12 +28,34 @@
 	// Held lists requests that are quarantined at this node or reported as
 	// quarantined by other nodes.
 	Held []HeldRequest `json:"held_back"`
+	// RefusedRecently counts the model requests that were refused at this node in the last ten
+	// seconds, most refusals first, and Shares are the organisations' shares that decide it.
+	RefusedRecently []RefusedRequests `json:"refused_recently"`
+	Shares          []Share           `json:"shares"`
 	// Refusals counts the node's refusals by reason since it started.
 	Refusals map[string]uint64 `json:"refusals_by_reason"`
 	// Failures lists the parts of the status that could not be read, with the cause.
 	Failures []string `json:"failures,omitempty"`
 }
 
+// RefusedRequests counts requests of an organisation in one class that were refused for one reason.
+type RefusedRequests struct {
+	Service      string `json:"service"`
+	Class        string `json:"class"`
+	Organisation string `json:"organisation"`
+	Reason       string `json:"reason"`
+	Count        int    `json:"count"`
+}
+
+// Share is an organisation's part of the recent work of a service over the fleet, and the part that
+// it is entitled to if it asks for it.
+type Share struct {
+	Service      string  `json:"service"`
+	Organisation string  `json:"organisation"`
+	Used         float64 `json:"used"`
+	Entitled     float64 `json:"entitled"`
+}
+
 // Member is an entry instance.
 type Member struct {
 	ID            string    `json:"id"`
--- a/replica.go
+++ b/replica.go
@@ -15,6 +15,13 @@
 	Close()
 }
 
+// Detour is a way to a replica through another node that may have an unused place there.
+type Detour struct {
+	// Upstream is the replica's ID, and Node that of the other node.
+	Upstream string
+	Node     string
+}
+
 type repeatableKey struct{}
 
 // WithRepeatable marks the context of a send whose request may be sent again although it may
--- a/retry/window.go
+++ b/retry/window.go
@@ -127,6 +127,24 @@
 	return true
 }
 
+// hedgeShare is the part of the limit that hedges may use. The rest is left for failures.
+const hedgeShare = 0.5
+
+// AllowHedge reports whether a request whose first send is only late may be sent again, and counts
+// the send if so.
+func (w *Window) AllowHedge(service string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.counts(service)
+	w.grant(c)
+	started, repeated := c.totals()
+	if !w.hasRoom(c) || len(c.waiters) > 0 || float64(repeated+1) > hedgeShare*w.limit(float64(started), w.now()) {
+		return false
+	}
+	*c.repeatedIn(c.newest)++
+	return true
+}
+
 // logRefusal logs that the limit refuses a repeated send, once in each slot. The caller
 // holds the lock.
 func (w *Window) logRefusal(service string, c *counts) {
--- a/routing/observe.go
+++ b/routing/observe.go
@@ -164,17 +164,21 @@
 	p.limit.learn(between, target, batch, now)
 }
 
-// learnStopped updates the predictions with the time of a call that this node
-// cancelled, if that is already longer than predicted. Otherwise nothing would be
-// learned of a slow replica, since hedges complete before its calls do, and it would
-// receive as many calls as a fast one.
+// learnStopped updates the predictions with the time of an attempt that this node
+// cancelled before its first token, if that is already longer than predicted. Otherwise
+// nothing would be learned of a slow replica, since hedges complete before its attempts
+// do, and it would receive as many as a fast one.
 func (a *attempt) learnStopped(o *zinniamast.Observation, now time.Time) {
 	p := a.replica
-	if o.Failure != zinniamast.FailureStopped || !p.servesCalls {
+	if o.Failure != zinniamast.FailureStopped || !p.servesCalls && !a.firstTokenAt.IsZero() {
 		return
 	}
 	took := (now.Sub(a.startedAt) - p.roundTrip).Seconds()
-	if work := a.running - 1; took > p.speed.first.at(work) {
+	work := a.running - 1
+	if !p.servesCalls {
+		work = a.tokensAhead + float64(max(0, a.promptTokens-a.cachedTokens))
+	}
+	if took > p.speed.first.at(work) {
 		p.learnFirst(work, took)
 	}
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -28,8 +28,10 @@
 	path   string
 	unsafe bool
 	node   *node
-	sent   time.Time
-	ended  time.Time
+	// key is the API key of its organisation.
+	key   string
+	sent  time.Time
+	ended time.Time
 	// status is zero if there was no response.
 	status int
 	// stamp is that of the replica whose answer it is.
@@ -49,6 +51,10 @@
 
 // run sends requests until ctx ends.
 func (c *callerPool) run(ctx context.Context, seed uint64) {
+	if c.deployment.demands != nil {
+		c.runDemands(ctx, seed)
+		return
+	}
 	var all sync.WaitGroup
 	for i := range uint64(callerCount) {
 		all.Go(func() { c.runCaller(ctx, rand.New(rand.NewPCG(seed, i))) })
@@ -65,7 +71,7 @@
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		n := c.deployment.nodes[random.IntN(len(c.deployment.nodes))]
-		o := c.send(client, n, paths[random.IntN(len(paths))])
+		o := c.send(client, n, paths[random.IntN(len(paths))], key)
 		if o.path == streamPath && o.err != nil && o.lastEvent() != "" {
 			c.resume(client, random, &o)
 		}
@@ -91,15 +97,16 @@
 	return commonPart + ":600," + strings.TrimPrefix(id, "r-") + ":50"
 }
 
-func (c *callerPool) send(client *http.Client, n *node, path string) outcome {
+func (c *callerPool) send(client *http.Client, n *node, path, key string) outcome {
 	o := outcome{
 		id:     c.deployment.newRequestID(),
 		path:   path,
 		unsafe: path == unsafePath,
 		node:   n,
+		key:    key,
 		sent:   time.Now(),
 	}
-	response, err := c.deployment.send(client, n, o.id, path)
+	response, err := c.deployment.send(client, n, o.id, path, key)
 	if err == nil {
 		o.status = response.StatusCode
 		o.stamp = caller.Stamp(response)
@@ -117,7 +124,7 @@
 }
 
 // send sends one request to a node.
-func (d *deployment) send(client *http.Client, n *node, id, path string) (*http.Response, error) {
+func (d *deployment) send(client *http.Client, n *node, id, path, key string) (*http.Response, error) {
 	d.mu.Lock()
 	d.askedNodes[id] = n
 	d.mu.Unlock()
@@ -146,7 +153,7 @@
 		},
 		Timeout: budget,
 	}
-	response, err := d.send(client, n, d.newRequestID(), path+"x")
+	response, err := d.send(client, n, d.newRequestID(), path+"x", key)
 	if err != nil {
 		d.tb.Logf("probe of %s: %v", n.name, err)
 		return 0
--- a/soak/check.go
+++ b/soak/check.go
@@ -121,7 +121,7 @@
 		return callerTimedOut
 	case d.wasDisturbed(o.node, o.sent, o.ended):
 		return instanceDown
-	case errors.Is(o.err, syscall.ECONNREFUSED):
+	case o.isNotConnected():
 		return connectionRefused
 	case w.runs == 0 && elapsed <= closeRaceWindow:
 		return requestNotRead
@@ -134,6 +134,9 @@
 	}
 }
 
+// isNotConnected reports whether no instance listened for the request.
+func (o *outcome) isNotConnected() bool { return errors.Is(o.err, syscall.ECONNREFUSED) }
+
 // describeLoss describes a lost request and its latest run.
 func (o *outcome) describeLoss(w executions) string {
 	line := fmt.Sprintf("%s (%s) was lost at %s after %v, run %d times: status %d, %v", o.id, o.path, o.node.name,
--- a/soak/condition.go
+++ b/soak/condition.go
@@ -61,7 +61,7 @@
 			})
 		})
 		defer shrink.Stop()
-		go d.resetLinks(until, c.Seed)
+		go d.resetLinks(until, c.Seed, 0)
 		d.restartInTurn(until)
 		d.setConditions(replica.Condition{
 			Slots: conditionSlots,
@@ -95,13 +95,15 @@
 	}
 }
 
-// resetLinks resets the links to one replica after the other until a given time.
-func (d *deployment) resetLinks(until time.Time, seed uint64) {
+// resetLinks resets the links to one replica after the other until a given time. Each resets what
+// comes back within the given duration.
+func (d *deployment) resetLinks(until time.Time, seed uint64, duration time.Duration) {
 	const resetInterval = 1500 * time.Millisecond
 	for i := int(seed); time.Now().Add(resetInterval).Before(until); i++ {
 		time.Sleep(resetInterval)
 		link, from := d.links[i%len(d.links)], time.Now()
 		link.Reset()
+		time.Sleep(duration)
 		link.Clear()
 		d.recordDisturbance(link, from)
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -48,6 +48,10 @@
 	retries  retryBudget
 	// slots is the number of slots that the replicas list.
 	slots int
+	// configuration is the format of the configuration, and demands are the organisations that
+	// send at a rate.
+	configuration string
+	demands       []demand
 	// requestsSent counts the requests that callers have sent.
 	requestsSent atomic.Int64
 
@@ -180,6 +184,9 @@
 		retries:    c.retryBudget(),
 		slots:      cmp.Or(c.slots, defaultSlots),
 		askedNodes: map[string]*node{},
+
+		configuration: cmp.Or(c.configuration, configuration),
+		demands:       c.demands,
 	}
 	tb.Cleanup(d.store.Close)
 	d.putNextConfiguration()
@@ -252,7 +259,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version++
-	d.store.Put("op", "config", fmt.Appendf(nil, configuration, d.version, versionPath(d.version)))
+	d.store.Put("op", "config", fmt.Appendf(nil, d.configuration, d.version, versionPath(d.version)))
 }
 
 // versionPath returns the path prefix of the route that only this version has.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -24,6 +24,11 @@
 	keepsReplicas bool
 	// slots is the number of slots that replicas list; zero means defaultSlots.
 	slots int
+	// configuration is the configuration of the deployment; empty means the one that all soaks
+	// share. demands are the organisations that send at a rate; without any, all callers are of
+	// one organisation and wait for each answer.
+	configuration string
+	demands       []demand
 }
 
 // retryBudget limits the retries of a deployment in each retry window of the settings.
@@ -97,6 +102,7 @@
 	cancel()
 	<-ended
 	s := c.check()
-	s.Faults = injected
+	c.checkDemands(&s)
+	s.Faults = append(s.Faults, injected...)
 	return s
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,9 @@
 	// conditionSeeds is how many seeds are soaked with replicas that are brittle, rest or leave.
 	conditionSeeds = flag.Int("soak.conditionseeds", 1, "how many seeds are soaked with brittle, resting and leaving replicas")
 
+	// scarceSeeds is how many seeds are soaked with more requests than slots.
+	scarceSeeds = flag.Int("soak.scarceseeds", 1, "how many seeds are soaked with more requests than slots")
+
 	first  = flag.Uint64("soak.first", 1, "the first seed")
 	length = flag.Duration("soak.length", 6*time.Second, "how long faults are injected")
 	size   = flag.Int("soak.instances", 4, "how many entry instances there are")
@@ -119,6 +122,23 @@
 	}
 }
 
+// Guards against urgent requests that are served less often than bulk ones, starved classes and organisations, and refused requests that ran, while capacity is short, instances are restarted in turn and links are reset.
+func TestScarceCapacityIsSharedWhileInstancesRestart(t *testing.T) {
+	for i := range uint64(*scarceSeeds) {
+		t.Run(fmt.Sprintf("seed %d", *first+i), func(t *testing.T) {
+			s := soak.RunScarce(t, soak.Config{
+				Seed:      *first + i,
+				Instances: *size,
+			})
+			t.Logf("%d requests, %d served, %d refused, without answer %v; %v", s.Requests, s.Served, s.Refused, s.Unanswered, s.Faults)
+			for _, line := range s.Violations {
+				t.Error(line)
+			}
+			is.New(t).True(s.Served > 0)
+		})
+	}
+}
+
 // Guards against requests that share only a part of their prompts and go on crashing replicas, while instances are restarted in turn.
 func TestCrashingPartIsHeldBackWhileInstancesRestart(t *testing.T) {
 	s := soak.RunCrashingPart(t, soak.Config{
--- a/throttle/full.go
+++ b/throttle/full.go
@@ -14,11 +14,37 @@
 	maxFullTime = 2 * time.Second
 )
 
+// probeTime is how long a replica that was full gets no second request while it has not answered
+// the first.
+const probeTime = 100 * time.Millisecond
+
 // full is a start of a replica that rejected a request of this node.
 type full struct {
 	started time.Time
 	until   time.Time
 	length  time.Duration
+	// running is the number of this node's requests that the replica was running. Once it runs
+	// fewer, it has room for one of them.
+	running int64
+	// probedAt is when the replica got the first request after until.
+	probedAt time.Time
+}
+
+// isFull reports whether the replica is known to have no room.
+func (f full) isFull(u *blackboard.Upstream, now time.Time) bool {
+	return now.Before(f.until) && u.Inflight() >= f.running
+}
+
+// beginFull records that a replica that was full gets a request. Others wait for its answer, so
+// that the replica does not have to reject them as well. The caller holds the lock.
+func (t *Throttle) beginFull(u *blackboard.Upstream, now time.Time) {
+	f, ok := t.full[u.Instance.ID]
+	if !ok || !f.started.Equal(u.Instance.Started) || u.Inflight() < f.running || now.Before(f.until) {
+		return
+	}
+	f.probedAt = now
+	f.until = now.Add(probeTime)
+	t.full[u.Instance.ID] = f
 }
 
 // recordFull records whether a replica took a request that was sent at the given time, or had no
@@ -32,12 +58,16 @@
 	f, known := t.full[id]
 	known = known && f.started.Equal(upstream.Instance.Started)
 	if !isRejected {
-		if known && sent.After(f.until) {
+		if known && (sent.After(f.until) || !f.probedAt.IsZero() && !sent.Before(f.probedAt)) {
 			delete(t.full, id)
 		}
 		return
 	}
-	if known && sent.Before(f.until) && now.Before(f.until) {
+	// The rejected request is one of those in flight.
+	running := upstream.Inflight() - 1
+	if known && sent.Before(f.until) && now.Before(f.until) && f.probedAt.IsZero() {
+		f.running = running
+		t.full[id] = f
 		return
 	}
 	length := minFullTime
@@ -48,6 +78,7 @@
 		started: upstream.Instance.Started,
 		until:   now.Add(length),
 		length:  length,
+		running: running,
 	}
 }
 
@@ -59,8 +90,11 @@
 		switch {
 		case u == nil || !u.Instance.Started.Equal(f.started):
 			delete(t.full, id)
-		case u.Instance.Service == service && now.Before(f.until):
+		case u.Instance.Service == service && f.isFull(u, now):
 			available.Spare = append(available.Spare, id)
+			if !t.hasKnownPlaces(u, now) {
+				available.Full = append(available.Full, id)
+			}
 		}
 	}
 }
--- a/throttle/owner.go
+++ b/throttle/owner.go
@@ -92,6 +92,9 @@
 	return share
 }
 
+// Nodes returns the names of all nodes that may be alive, this one among them.
+func (o *Owners) Nodes() []string { return append(slices.Clone(o.others()), o.Node) }
+
 // others returns the other nodes that may be alive.
 func (o *Owners) others() []string {
 	o.mu.Lock()
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -25,6 +25,9 @@
 	// Share returns this node's share of the places of a replica, see Owners. If nil, this
 	// node has all of them.
 	Share func(replica string) Share
+	// Places returns how many of a replica's slots are this node's while capacity is short. If
+	// nil, they are those of Share.
+	Places func(service, replica string, slots int) int
 	// Gossip exchanges the limits with the other nodes. If nil, this is the only node.
 	Gossip zinniamast.Gossip
 	// Logger logs each limit that starts, changes or ends. If nil, nothing is logged.
@@ -68,8 +71,12 @@
 	ignored  map[string]time.Time
 	// rests holds the replicas that want no request from this node.
 	rests map[string]rest
+	// allocations holds the services some of whose replicas asked for rest.
+	allocations map[string]*allocation
 	// full holds the replicas that rejected a request of this node.
 	full map[string]full
+	// shares holds this node's places by service.
+	shares map[string]*servicePlaces
 }
 
 // limit is the limit that a replica names.
@@ -104,6 +111,9 @@
 			}
 		}
 	}
+	if config.Places == nil {
+		config.Places = func(_, replica string, slots int) int { return config.Share(replica).Of(slots) }
+	}
 	if config.Logger == nil {
 		config.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -128,7 +138,10 @@
 		services: map[string]*brittleService{},
 		ignored:  map[string]time.Time{},
 		rests:    map[string]rest{},
-		full:     map[string]full{},
+
+		allocations: map[string]*allocation{},
+		full:        map[string]full{},
+		shares:      map[string]*servicePlaces{},
 	}
 	if config.Gossip != nil {
 		config.Gossip.Subscribe(zinniamast.TopicRateLimit, t.receive)
@@ -146,6 +159,7 @@
 	t.limitFull(service, now, &available)
 	t.limitResting(service, now, &available)
 	t.limitBrittle(service, now, &available)
+	t.limitAllocated(service, now, &available)
 	for id, l := range t.limits {
 		u := t.config.Upstreams.Get(id)
 		if now.Sub(l.namedAt) > limitLifetime {
@@ -194,13 +208,14 @@
 	if ok && l.isNamedBy(upstream) && !t.mayBeginLimited(l, upstream, now) {
 		return false
 	}
-	if t.isResting(upstream, now) || !t.beginBrittle(upstream, now) {
+	if t.isResting(upstream, now) || !t.beginBrittle(upstream, now) || !t.beginAllocated(upstream, now) {
 		return false
 	}
 	if ok {
 		l.tokens--
 		l.sentAt = now
 	}
+	t.beginFull(upstream, now)
 	upstream.BeginAttempt()
 	return true
 }
@@ -212,6 +227,7 @@
 	t.recordLimit(upstream, sent, feedback.Condition.RateLimit)
 	t.recordBrittle(upstream, sent, feedback)
 	t.recordRest(upstream, feedback.RestFor)
+	t.recordAllocated(upstream, feedback)
 	t.recordFull(upstream, sent, feedback.Rejected)
 }
 
