Wait for the replica to receive the request in tests of a stop

The tests of a stop with a running request slept 100 ms and took for granted that the request had reached the replica by then. On a busy machine the stop could come first, and the request was then refused instead of answered with the status of one that may have run. The fixture now waits until the replica has received the request. Found by reading; no run failed this way.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -174,18 +174,22 @@
 	return response.StatusCode, string(body)
 }
 
-// sendHanging sends a request that the replica never answers, and returns the channel
-// that receives the status.
+// sendHanging sends a request that the replica never answers, waits until the replica has
+// received it, and returns the channel that receives the status.
 func (f *fleet) sendHanging(name, path string) (answered <-chan int) {
+	f.t.Helper()
 	f.replica.SetBehaviour(replica.Behaviour{
 		Hang: true,
 	})
+	before := len(f.replica.Runs())
 	status := make(chan int, 1)
 	go func() {
 		got, _ := f.call(name, path)
 		status <- got
 	}()
-	time.Sleep(100 * time.Millisecond)
+	f.waitFor(5*time.Second, "the replica receives a request of "+name, func() bool {
+		return len(f.replica.Runs()) > before
+	})
 	return status
 }
 
