End the resets of links before the outcomes of a soak are checked

RunConditions and RunScarce reset links in a goroutine that they did not wait for. The last reset begins up to 1.5 s before the end and is recorded at its own end, which in RunScarce may be 0.2 s later: a stream that it broke off was then counted as lost without a reason if the callers had ended before. Both now wait for the resets before the callers end. RunScarce looked for the log lines of waiting and refused requests in the newest process of each instance alone; a line of a process before the restart counts now too, as the check is that any instance logged it. Found by reading; no run failed this way.

--- a/soak/condition.go
+++ b/soak/condition.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,8 +62,7 @@
 			})
 		})
 		defer shrink.Stop()
-		go d.resetLinks(until, c.Seed, 0)
-		d.restartInTurn(until)
+		d.restartWhileLinksReset(until, c.Seed, 0)
 		d.setConditions(replica.Condition{
 			Slots: conditionSlots,
 		})
@@ -95,6 +95,15 @@
 	}
 }
 
+// restartWhileLinksReset restarts all instances in turn while links are reset, and returns when both
+// have ended: the faults of all links are recorded then.
+func (d *deployment) restartWhileLinksReset(until time.Time, seed uint64, duration time.Duration) {
+	var resets sync.WaitGroup
+	resets.Go(func() { d.resetLinks(until, seed, duration) })
+	d.restartInTurn(until)
+	resets.Wait()
+}
+
 // resetLinks resets the links to one replica after the other until a given time. Each resets what
 // comes back within the given duration.
 func (d *deployment) resetLinks(until time.Time, seed uint64, duration time.Duration) {
--- a/soak/scarce.go
+++ b/soak/scarce.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"zinniamast/processtest"
 	"zinniamast/standin/replica"
 )
 
@@ -91,8 +92,7 @@
 	}
 	s := d.soak(c.Seed, func() []string {
 		until := time.Now().Add(scarceDuration)
-		go d.resetLinks(until, c.Seed, resetDuration)
-		d.restartInTurn(until)
+		d.restartWhileLinksReset(until, c.Seed, resetDuration)
 		return nil
 	})
 	for _, message := range []string{"requests wait for capacity", "request has waited", "class is refused"} {
@@ -103,10 +103,12 @@
 	return s
 }
 
-// isLogged reports whether the process of an instance has logged a message.
+// isLogged reports whether a process of an instance has logged a message.
 func (d *deployment) isLogged(message string) bool {
 	return slices.ContainsFunc(d.nodes, func(n *node) bool {
-		return strings.Contains(n.process.Logs(), fmt.Sprintf("msg=%q", message))
+		return slices.ContainsFunc(append(slices.Clone(n.previous), n.process), func(p *processtest.Process) bool {
+			return strings.Contains(p.Logs(), fmt.Sprintf("msg=%q", message))
+		})
 	})
 }
 
