Record streams of the replica stand-in as they were answered

A replica whose behaviour has a status of its own answers streams with 200 all the same, but recorded their runs with that status. The run now has the status that was sent.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -44,7 +44,8 @@
 // Behaviour determines how a request is answered; the zero value sends a whole
 // answer.
 type Behaviour struct {
-	// Status is the status of the answer; zero means 200.
+	// Status is the status of the answer; zero means 200. Requests below StreamPrefix are
+	// answered with 200 all the same, and the Behaviour of their runs says so.
 	Status int
 	// NotRun answers that the request was not executed.
 	NotRun bool
@@ -206,8 +207,12 @@
 		Body:         string(body),
 		Disconnected: make(chan struct{}),
 	}
+	isStream := r.isStream(request)
 	r.mu.Lock()
 	b := r.behaviour
+	if isStream {
+		b.Status = 0
+	}
 	run.Received = time.Now()
 	run.Behaviour = b
 	run.Refused = b.NotRun || b.Misdirected || run.Header.Get("Zinniamast-Expect-Instance") != r.ID
@@ -234,6 +239,11 @@
 	r.answer(w, request, run, b)
 }
 
+// isStream reports whether a request is below StreamPrefix.
+func (r *Replica) isStream(request *http.Request) bool {
+	return r.StreamPrefix != "" && strings.HasPrefix(request.URL.Path, r.StreamPrefix)
+}
+
 func (r *Replica) answer(w http.ResponseWriter, request *http.Request, run *Run, b Behaviour) {
 	switch {
 	case b.Reset:
@@ -263,7 +273,7 @@
 	if !b.OmitStamp {
 		w.Header().Set("Zinniamast-Server-Stamp", "stamp-"+r.ID)
 	}
-	isStream := r.StreamPrefix != "" && strings.HasPrefix(request.URL.Path, r.StreamPrefix)
+	isStream := r.isStream(request)
 	switch {
 	case b.Unframed && isStream:
 		r.writeUnframed(w, request, run, r.streamBehaviour(b))
