Show the logs of instances when a test of package entry fails

Without the instances' logs and the number of requests the cause could not be told. The fixture now keeps the log of each instance and shows its end if the test fails, and the test logs the requests before it checks.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -27,6 +29,9 @@
 	replica  *replica.Replica
 	stops    map[string]func()
 	settings map[string]*platform.Settings
+	// logs holds the log of each instance, over all its processes. If the test fails, the end of
+	// each is shown.
+	logs map[string]*logBuffer
 	// stopTimeout applies to the instances that are launched next.
 	stopTimeout time.Duration
 }
@@ -40,6 +45,7 @@
 		replica:  replica.New("i-1"),
 		stops:    map[string]func(){},
 		settings: map[string]*platform.Settings{},
+		logs:     map[string]*logBuffer{},
 
 		stopTimeout: 8 * time.Second,
 	}
@@ -49,6 +55,11 @@
 		}
 		f.replica.Close()
 		f.store.Close()
+		if t.Failed() {
+			for _, name := range slices.Sorted(maps.Keys(f.logs)) {
+				t.Logf("end of the log of %s:\n%s", name, f.logs[name].tail())
+			}
+		}
 	})
 	f.store.Put("servers", "i-1", fmt.Appendf(nil,
 		`{"service":"svc","address":%q,"zone":"here","state":"ready","slots":8,"born":1}`, f.replica.Address()))
@@ -102,9 +113,12 @@
 		},
 	}
 	change(s)
+	if f.logs[name] == nil {
+		f.logs[name] = &logBuffer{}
+	}
 	instance, err := entry.New(entry.Config{
 		Settings: s,
-		Logger:   slog.New(slog.DiscardHandler),
+		Logger:   slog.New(slog.NewTextHandler(f.logs[name], nil)),
 	})
 	f.is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/rollout_test.go
+++ b/entry/rollout_test.go
@@ -85,6 +85,7 @@
 		Gap:    10 * time.Millisecond,
 	}, 14*time.Second)
 	sent, failed := f.send(25 * time.Second)
+	t.Logf("%d requests, %d at the new version", sent, f.arrivals("v2"))
 	f.is.Equal(f.rolloutState(), "completed")
 	f.is.Equal(failed, int64(0))
 	before := f.arrivals("v1")
@@ -92,7 +93,6 @@
 		f.read("edge-2", fmt.Sprint("after-", i), "", "", 3)
 	}
 	f.is.Equal(f.arrivals("v1"), before)
-	t.Logf("%d requests, %d at the new version", sent, f.arrivals("v2"))
 }
 
 // Guards against a bad version that gets more than a small share of the requests, or is not rolled back.
