Wait for the handover in the test of a restarted instance's retry budget

TestRestartedInstanceGoesOnWithItsRetryBudget slept 500 ms and took for granted that the new process had asked its peer for the budget by then, a call that may take a second. The test now waits until the instance has logged that it has taken the budget over. TestRestartedInstancesStayWithinTheRetryBound checked that at least one request had been repeated without sending until one was; it does so now, as the test beside it since.

--- a/entry/retry_test.go
+++ b/entry/retry_test.go
@@ -154,6 +154,7 @@
 	for _, name := range names {
 		f.load(name, 10)
 	}
+	f.loadUntilRepeated("edge-1")
 	f.checkBound()
 }
 
@@ -187,7 +188,9 @@
 	time.Sleep(2500 * time.Millisecond) // The instances have started for the first time, and know of each other.
 	f.stops["edge-1"]()
 	f.launchInstance("edge-1")
-	time.Sleep(500 * time.Millisecond) // It has taken its budget over.
+	f.waitFor(5*time.Second, "edge-1 has taken its budget over", func() bool {
+		return f.logs["edge-1"].count("retry budget taken over") == 1
+	})
 	f.load("edge-1", 10)
 	f.is.Equal(len(f.repeats()), 10) // 0.85 of half of the slack and of 0.2 of 10 requests
 	f.checkBound()
