Wait until all purchases are logged before they are compared

The tests of a paused lease holder compared the number of purchases in the nodes' logs with the number that the cloud had counted, while the new holder was still buying: the cloud counts a purchase before its buyer has the answer and logs it, and further ones came between the two readings. Found by reading; no run failed this way.

--- a/processtest/lease_test.go
+++ b/processtest/lease_test.go
@@ -101,13 +101,16 @@
 		return strings.Contains(holder.Logs(), "from=held to=watching") || strings.Contains(holder.Logs(), "from=lapsed to=watching")
 	})
 
-	buyers := map[string]int{}
-	for _, n := range fleet.Nodes {
-		for _, id := range startedInstances(n) {
-			buyers[id]++
-			if n == holder && !startedBefore[id] {
-				t.Errorf("%s was bought after the lease was lost", id)
-			}
+	// A purchase that the cloud has counted is logged when its answer arrives.
+	var buyers map[string]int
+	fleet.WaitUntil("each purchase to be logged", func() bool {
+		starts := fleet.Platform.Counts().Starts
+		buyers = countBuyers(fleet)
+		return uint64(len(buyers)) == starts && fleet.Platform.Counts().Starts == starts
+	})
+	for _, id := range startedInstances(holder) {
+		if !startedBefore[id] {
+			t.Errorf("%s was bought after the lease was lost", id)
 		}
 	}
 	for id, count := range buyers {
@@ -115,11 +118,21 @@
 			t.Errorf("%s has %d buyers", id, count)
 		}
 	}
-	is.Equal(uint64(len(buyers)), fleet.Platform.Counts().Starts)
 	is.True(fencingNumber(next) > fencingNumber(holder))
 	t.Logf("bought %d, of them %d before the takeover; fences %d and %d", len(buyers), before, fencingNumber(holder), fencingNumber(next))
 }
 
+// countBuyers returns how many nodes have logged the purchase of each instance.
+func countBuyers(fleet *processtest.Fleet) map[string]int {
+	buyers := map[string]int{}
+	for _, n := range fleet.Nodes {
+		for _, id := range startedInstances(n) {
+			buyers[id]++
+		}
+	}
+	return buyers
+}
+
 // offersEverywhere returns an offer of one class at one price in each failure domain.
 func offersEverywhere() []zinniamast.Offer {
 	var offers []zinniamast.Offer
