Expose the load of each failure domain

The node that orders replicas knew the load of each failure domain and could read only the total. Demand.ByDomain returns it by failure domain; a domain whose load has not arrived for 2 s is missing from the result, a known one without requests has a zero load. Domain loads already travel with the load reports, so no message changes.

--- a/demand/demand.go
+++ b/demand/demand.go
@@ -290,6 +290,21 @@
 	return sum[service]
 }
 
+// ByDomain returns the load of a service in each failure domain whose load is known. A
+// known failure domain without requests has a zero load; an unknown one is missing.
+func (d *Demand) ByDomain(service string) map[string]Load {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := map[string]Load{}
+	for domain, r := range d.domains {
+		if r.isFresh(now) {
+			known[domain] = r.loads[service]
+		}
+	}
+	return known
+}
+
 // IsComplete reports whether the load of every failure domain that reported lately is
 // known. If it is not, Total is only a lower bound.
 func (d *Demand) IsComplete() bool {
--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -129,3 +129,32 @@
 		check.True(d.IsComplete()) // its nodes are gone
 	})
 }
+
+// TestUnknownDomainIsMissing guards against an unknown load that is read as no load.
+func TestUnknownDomainIsMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		d := demand.New("burnaby-a")
+		d.RequestStarted("svc", 300)
+		check.Equal(len(d.ByDomain("svc")), 0) // the load of one node is not that of its domain
+		for _, domain := range []string{"burnaby-a", "surrey-b"} {
+			d.ReceiveDomain(domain, demand.DomainLoad{
+				Loads: demand.Loads{
+					"svc": demand.Load{
+						Running: 20,
+					},
+				},
+			})
+		}
+		check.Equal(d.ByDomain("svc")["surrey-b"].Running, 20.0)
+		idle, isKnown := d.ByDomain("other")["surrey-b"]
+		check.True(isKnown)
+		check.Equal(idle, demand.Load{})
+		time.Sleep(1500 * time.Millisecond)
+		d.ReceiveDomain("burnaby-a", demand.DomainLoad{})
+		time.Sleep(time.Second)
+		_, isKnown = d.ByDomain("svc")["surrey-b"]
+		check.True(!isKnown)
+		check.Equal(len(d.ByDomain("svc")), 1)
+	})
+}
