Distribute planned replicas by the demand of failure domains

Plans spread replicas evenly over failure domains, so callers of a domain with several times the demand of others are served from other domains, over priced links.

DomainDemand decides whether plans follow demand: one domain's demand has exceeded that of another one by more than half of the mean (and by a replica) for ten seconds. Plan then changes the failure domains of an even plan and nothing else: the number of each market, the minimum, the maximum and refused places are those of the even plan. Present and starting replicas stay; new ones, replacements and reductions follow the shares. A domain without known load keeps its replicas. Nothing sets the shares yet.

Failed attempts: replacements always where most are lacking made domains at their quota fall and rise again; in-place replacement alone left turns 9 to 29 s apart, so plans also prefer domains whose plan need not turn.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -64,6 +64,17 @@
 	// IsMoving means that the service is moved between software versions. Present counts the
 	// replicas of the one that carries its load.
 	IsMoving bool
+	// Shares are the parts of the replicas that failure domains get by their demand; see
+	// DomainDemand. One whose load is unknown is missing and keeps its replicas. Nil means
+	// that replicas are spread evenly.
+	Shares map[string]float64
+	// Expected counts the replicas that are present once pending orders are fulfilled. It
+	// is used together with Shares.
+	Expected map[Place]int
+	// Rising and Falling are the failure domains whose plan lately began to rise or fall;
+	// it is not to turn again where another one can change instead.
+	Rising  map[string]bool
+	Falling map[string]bool
 }
 
 // Plan returns how many replicas each place should have.
@@ -92,6 +103,9 @@
 		plan[reclaimable(domain)] += 0
 		plan[onDemand(domain)] += 0
 	}
+	if s.Shares != nil {
+		followDemand(plan, domains, s)
+	}
 	return plan
 }
 
@@ -192,8 +206,11 @@
 // requiredReplicas returns how many replicas the demand needs at any price, over
 // all failure domains: by the machine time that its requests take, or by the
 // slots that they fill, whichever is more.
-func requiredReplicas(s State) int {
-	return int(math.Ceil(max(busyReplicas(s)/targetBusyFraction, filledReplicas(s)/targetSlotFraction)))
+func requiredReplicas(s State) int { return int(math.Ceil(neededReplicas(s))) }
+
+// neededReplicas returns the number of required replicas before rounding.
+func neededReplicas(s State) float64 {
+	return max(busyReplicas(s)/targetBusyFraction, filledReplicas(s)/targetSlotFraction)
 }
 
 // desiredReplicas returns how many replicas the demand needs where they are
