Order replicas by the demand of failure domains

The controller passes the demand of each failure domain to DomainDemand and the shares to Plan. A domain's demand is the number of replicas that its load needs; requests of unknown work count with the service's mean. A new lease holder that finds an uneven distribution keeps it while demand is uneven or unknown. One log line states demand, shares and present replicas when the shares change, and two gauges state demand and share by failure domain.

A simulated fleet in six domains follows demand of four to one to within 0.1 over bursts of 150 and 400 running requests, with the same numbers of replicas as with even demand (TestFleetFollowsUnevenDemand); a takeover, also by a process that has just started, unknown load and a rollout keep the distribution (follow_test.go).

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -142,6 +142,7 @@
 		Duties:         duties,
 		FailureDomains: s.FailureDomains,
 		Rollouts:       e.rollouts,
+		Registerer:     e.registry,
 		Logger:         e.config.Logger,
 	})
 	e.buildRolloutLeader(e.store)
--- a/scaling/controller.go
+++ b/scaling/controller.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"zinniamast"
 	"zinniamast/blackboard"
 	"zinniamast/demand"
@@ -62,6 +64,8 @@
 	FailureDomains []string
 	// Rollouts are the rollouts of software versions; nil means that there are none.
 	Rollouts Rollouts
+	// Registerer registers the metrics; nil leaves them unregistered.
+	Registerer prometheus.Registerer
 	// Logger logs the orders; nil means slog.Default.
 	Logger *slog.Logger
 }
@@ -86,6 +90,7 @@
 	// refused holds the time until which no more replicas are ordered in a place.
 	refused  map[orderKey]time.Time
 	trackers map[string]*tracker
+	metrics  *metrics
 }
 
 type orderKey struct {
@@ -100,6 +105,12 @@
 	maxPresent int
 }
 
+// isPending reports whether replicas of the order may still be starting or stopping. No
+// replica has left since, so present is the highest number so far.
+func (o order) isPending(present int, now time.Time) bool {
+	return present >= o.maxPresent && now.Sub(o.at) < repeatOrderAfter
+}
+
 // New returns a controller; Run starts it.
 func New(config Config) *Controller {
 	if config.Logger == nil {
@@ -111,6 +122,7 @@
 		orders:    map[orderKey]order{},
 		refused:   map[orderKey]time.Time{},
 		trackers:  map[string]*tracker{},
+		metrics:   newMetrics(config.Registerer),
 	}
 }
 
@@ -135,6 +147,7 @@
 	fence, err := c.config.Lease.Check(orderTimeout)
 	table := c.config.Routes.Current()
 	if err != nil || table == nil {
+		c.metrics.reset()
 		return
 	}
 	if fence != c.fence {
@@ -148,7 +161,10 @@
 			continue
 		}
 		for range maxPlansPerRound {
-			if !c.applyPlan(ctx, name, c.state(service)) {
+			s := c.state(service)
+			plan := Plan(s)
+			if !c.applyPlan(ctx, name, plan, s) {
+				c.trackers[name].domains.RecordPlan(plan, s.Domains, time.Now())
 				break
 			}
 		}
@@ -156,9 +172,9 @@
 }
 
 // applyPlan sends the orders of a plan and reports whether any was refused.
-func (c *Controller) applyPlan(ctx context.Context, service string, s State) bool {
+func (c *Controller) applyPlan(ctx context.Context, service string, plan map[Place]int, s State) bool {
 	refused := false
-	for place, count := range Plan(s) {
+	for place, count := range plan {
 		if c.order(ctx, service, place, count, s) {
 			refused = true
 		}
@@ -180,6 +196,9 @@
 	// reclaimableUnavailable reports whether the last order for more reclaimable
 	// replicas was refused.
 	reclaimableUnavailable bool
+	// domains decides on the shares of the failure domains, and shares are the last ones.
+	domains DomainDemand
+	shares  map[string]float64
 }
 
 // initialReplicas counts the replicas that a new lease holder finds. The list of
@@ -380,6 +399,9 @@
 			s.Refused[key.place] = true
 		}
 	}
+	s.Expected = c.expected(s, now)
+	s.Shares = c.domainShares(s, now)
+	s.Rising, s.Falling = t.domains.Trends(now)
 	return s
 }
 
@@ -415,8 +437,7 @@
 		}
 	}
 	last.maxPresent = max(last.maxPresent, present)
-	isPending := present == last.maxPresent && now.Sub(last.at) < repeatOrderAfter
-	if count == last.count && (present >= count || isPending) {
+	if count == last.count && (present >= count || last.isPending(present, now)) {
 		c.orders[key] = last
 		return false
 	}
--- a/scaling/takeover_test.go
+++ b/scaling/takeover_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"zinniamast"
 	"zinniamast/blackboard"
@@ -49,6 +50,10 @@
 	lease   laterLease
 	demand  *demand.Demand
 	domains []string
+	// rollouts, registerer and log are passed to new controllers.
+	rollouts   scaling.Rollouts
+	registerer prometheus.Registerer
+	log        slog.Handler
 
 	mu sync.Mutex
 	// running is the number of running requests in each failure domain.
@@ -57,6 +62,13 @@
 
 // runLargeFleet runs a test beside a controller that does not hold the lease yet.
 func runLargeFleet(t *testing.T, test func(check *is.I, f *largeFleet)) {
+	t.Helper()
+	runLargeFleetWith(t, func(*largeFleet) {}, test)
+}
+
+// runLargeFleetWith is runLargeFleet with a change of the fixture before the controller
+// starts.
+func runLargeFleetWith(t *testing.T, change func(f *largeFleet), test func(check *is.I, f *largeFleet)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		f := &largeFleet{
@@ -64,18 +76,20 @@
 				board: blackboard.New(),
 			},
 			running: map[string]float64{},
+			log:     slog.DiscardHandler,
 		}
 		for i := range largeFleetDomains {
 			f.domains = append(f.domains, fmt.Sprintf("domain-%d", i))
 		}
 		f.demand = demand.New(f.domains[0])
+		change(f)
 		for i := range perDomain * largeFleetDomains {
 			f.add(f.domains[i%largeFleetDomains], zinniamast.Reclaimable, time.Now())
 		}
 		f.listDue()
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
-		controller := f.newController()
+		controller := f.newController(&f.lease)
 		running.Go(func() { controller.Run(ctx) })
 		running.Go(func() { f.runClock(ctx) })
 		defer running.Wait()
@@ -84,7 +98,7 @@
 	})
 }
 
-func (f *largeFleet) newController() *scaling.Controller {
+func (f *largeFleet) newController(lease scaling.Lease) *scaling.Controller {
 	s := service()
 	s.Scaling.Min = 1
 	s.Scaling.Max = 2 * perDomain
@@ -107,10 +121,12 @@
 		Routes:         table,
 		Upstreams:      f.board.Upstreams,
 		Demand:         f.demand,
-		Lease:          &f.lease,
+		Lease:          lease,
 		Duties:         f,
 		FailureDomains: f.domains,
-		Logger:         slog.New(slog.DiscardHandler),
+		Rollouts:       f.rollouts,
+		Registerer:     f.registerer,
+		Logger:         slog.New(f.log),
 	})
 }
 
