Test orders by demand under alternating demand and refusals

At the controller, with boot times and lost replicas: demand that alternates each 15, 35 and 50 s turns no failure domain's orders twice within 30 s (fails without the trends in plans), and refusals in the busiest domain lead to as many replicas as with even demand and to no move after they end.

--- a/scaling/domaindemand_test.go
+++ b/scaling/domaindemand_test.go
@@ -212,3 +212,23 @@
 	}
 	k.direction = direction
 }
+
+// BenchmarkDomainDemand observes 14 failure domains with even demand, which compares each
+// pair of them.
+func BenchmarkDomainDemand(b *testing.B) {
+	var h scaling.DomainDemand
+	names := make([]string, 14)
+	for i := range names {
+		names[i] = string(rune('a' + i))
+	}
+	now := time.Duration(0)
+	for b.Loop() {
+		o := observation(names, now)
+		for i, domain := range names {
+			o.Demand[domain] = float64(20 + i%3)
+			o.Present[domain] = 20
+		}
+		h.Update(o)
+		now += roundTime
+	}
+}
--- a/scaling/follow_test.go
+++ b/scaling/follow_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +16,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"zinniamast"
 	"zinniamast/demand"
 )
 
@@ -201,3 +204,99 @@
 		check.True(f.busiestShare() > 0.3)
 	})
 }
+
+// Guards against more replicas than with even demand, or replicas that move, when the failure
+// domain with the highest demand refuses orders for some time.
+func TestRefusalInTheBusiestDomainMovesNothing(t *testing.T) {
+	// highest are the highest numbers of replicas. With even demand the number falls below
+	// it every four seconds, when the refused orders are tried again.
+	var highest [2]int
+	for i := range highest {
+		runLargeFleet(t, func(check *is.I, f *largeFleet) {
+			set := []func(float64){f.setRunning, f.setUneven}[i]
+			set(150)
+			f.lease.held.Store(true)
+			time.Sleep(20 * time.Second)
+			f.fleet.mu.Lock()
+			f.fullDomain = f.domains[0]
+			f.fleet.mu.Unlock()
+			set(400)
+			for range 80 {
+				time.Sleep(250 * time.Millisecond)
+				highest[i] = max(highest[i], f.serving())
+			}
+			check.True(f.serving() >= 67) // 400 requests fill 34 replicas, half of whose places are planned to be in use
+			if i == 0 {
+				return
+			}
+			before := f.present()
+			f.fleet.mu.Lock()
+			f.fullDomain = ""
+			f.fleet.mu.Unlock()
+			for range 20 {
+				time.Sleep(time.Second)
+				for domain, count := range f.present() {
+					check.True(count >= before[domain])
+				}
+			}
+		})
+	}
+	is.New(t).Equal(highest[0], highest[1])
+}
+
+// lose removes a listed replica.
+func (f *fleet) lose(r *rand.Rand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := r.IntN(len(f.replicas))
+	if f.replicas[i].listed {
+		f.board.Upstreams.Remove(f.replicas[i].upstream.Instance.ID)
+		f.replicas = slices.Delete(f.replicas, i, i+1)
+	}
+}
+
+// Guards against orders that follow alternating demand back and forth, while replicas are
+// lost and take their time to start.
+func TestAlternatingDemandTurnsOrdersOncePerHalfMinute(t *testing.T) {
+	for _, period := range []time.Duration{15 * time.Second, 35 * time.Second, 50 * time.Second} {
+		tracks := map[string]*track{}
+		begin := time.Time{}
+		change := func(f *largeFleet) {
+			f.onOrder = func(order zinniamast.ScaleOrder) {
+				if k := tracks[order.FailureDomain]; k != nil && order.Market == zinniamast.Reclaimable {
+					k.add(order.Count, time.Since(begin))
+				}
+			}
+		}
+		runLargeFleetWith(t, change, func(check *is.I, f *largeFleet) {
+			r := rand.New(rand.NewPCG(1, uint64(period)))
+			f.setRunning(300)
+			f.lease.held.Store(true)
+			time.Sleep(20 * time.Second)
+			f.mu.Lock()
+			begin = time.Now()
+			for domain, count := range f.present() {
+				tracks[domain] = &track{
+					last: count,
+				}
+			}
+			f.mu.Unlock()
+			for second := range 600 {
+				f.setUneven(300)
+				if time.Duration(second)*time.Second/period%2 == 1 {
+					f.mu.Lock()
+					f.running[f.domains[0]], f.running[f.domains[1]] = f.running[f.domains[1]], f.running[f.domains[0]]
+					f.mu.Unlock()
+				}
+				if second%3 == 0 {
+					f.lose(r)
+				}
+				time.Sleep(time.Second)
+			}
+			for domain, k := range tracks {
+				t.Log(period, domain, k.turns, k.shortest)
+				check.True(k.shortest >= 30*time.Second || k.turns < 2)
+			}
+		})
+	}
+}
