Keep requests that cannot be sent again from trials at full replicas

Callers saw: after restarts and kills urgent requests and those of organisations within their share were refused with reason retry_budget after one rejection.

Cause: a new process has few retries for 11 s. It sent requests anywhere, as nothing had waited at it yet, and made trials at replicas without an own place; 54 and 68 % of these were rejected and each rejection ended a request.

RetryWait allocates nothing while retries are left. The three calls of MayTry in the queue tests name that there is a retry, as before.

--- a/forward/place.go
+++ b/forward/place.go
@@ -113,10 +113,9 @@
 }
 
 // chooseOwn chooses one of the replicas at which this node has a place that it does not use, while
-// requests wait for the service. If there is none, mayTry reports whether the request may try
-// another replica.
+// places are shared. If there is none, mayTry reports whether the request may try another replica.
 func (h *Handler) chooseOwn(c *call, avoid []string) (to routed, ok, mayTry bool) {
-	if !c.place.mayWait || len(c.selection.Only) > 0 || !h.config.Queue.IsShort(c.service) {
+	if !c.place.mayWait || len(c.selection.Only) > 0 || !h.sharesPlaces(c) {
 		return routed{}, false, true
 	}
 	unused, isBound := h.config.Throttle.UnusedPlaces(c.service)
@@ -135,7 +134,25 @@
 			}, true, false
 		}
 	}
-	return routed{}, false, c.place.entry.MayTry()
+	hasRetry := h.hasRetry(c)
+	if c.owesRetry && !hasRetry {
+		return routed{}, false, false
+	}
+	return routed{}, false, c.place.entry.MayTry(hasRetry)
+}
+
+// sharesPlaces reports whether the request uses this node's own places first: requests wait for the
+// service at this node, or at others while this node has no retry. A process that has just started
+// has few retries and no waiting requests. Without this, it sends to replicas that are full and
+// loses each request that they reject.
+func (h *Handler) sharesPlaces(c *call) bool {
+	return h.config.Queue.IsShort(c.service) || h.config.Queue.IsShortAnywhere(c.service) && !h.hasRetry(c)
+}
+
+// hasRetry reports whether the retry budget allows a retry now.
+func (h *Handler) hasRetry(c *call) bool {
+	wait, ok := h.config.RetryBudget.RetryWait(c.service)
+	return ok && wait == 0
 }
 
 // recordRejection records that a replica had no place for the request.
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -291,33 +291,6 @@
 	}
 }
 
-// MayTry reports whether the request may try a replica at which this node holds no place, and
-// counts the trial. Rejections make trials rarer.
-func (e *Entry) MayTry() bool {
-	e.queue.mu.Lock()
-	defer e.queue.mu.Unlock()
-	now := time.Now()
-	if now.Before(e.service.trialAt) {
-		return false
-	}
-	e.isTrial = true
-	e.service.trialAt = now.Add(e.service.trialInterval)
-	return true
-}
-
-// Rejected records that a replica had no place for the request.
-func (e *Entry) Rejected() {
-	e.queue.mu.Lock()
-	defer e.queue.mu.Unlock()
-	if !e.isTrial {
-		return
-	}
-	e.isTrial = false
-	s := e.service
-	s.trialInterval = min(max(2*s.trialInterval, minTrialInterval), maxTrialInterval)
-	s.trialAt = time.Now().Add(s.trialInterval)
-}
-
 // Began records that a replica has taken the request.
 func (e *Entry) Began() {
 	e.queue.mu.Lock()
@@ -363,6 +336,14 @@
 	return !q.service(name).shortSince.IsZero()
 }
 
+// IsShortAnywhere reports whether requests wait for the service, or have waited lately, at this node
+// or at another one that has told so.
+func (q *Queue) IsShortAnywhere(name string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.service(name).tellsDemand(time.Now())
+}
+
 // IsAnyShort reports whether the nodes share the places of any service now: requests wait or have
 // waited lately, at this node or at another one that has told so.
 func (q *Queue) IsAnyShort() bool {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -278,7 +278,7 @@
 		for range 100 {
 			var e queue.Entry
 			w.queue.Enter(&e, request("acme", 0))
-			if e.MayTry() {
+			if e.MayTry(true) {
 				trials++
 				e.Rejected()
 			}
@@ -288,9 +288,9 @@
 		time.Sleep(time.Second)
 		var e queue.Entry
 		w.queue.Enter(&e, request("acme", 0))
-		check.True(e.MayTry())
+		check.True(e.MayTry(true))
 		e.Began()
-		check.True(e.MayTry()) // there was room
+		check.True(e.MayTry(true)) // there was room
 	})
 }
 
--- a/retry/wait.go
+++ b/retry/wait.go
@@ -24,6 +24,9 @@
 	defer w.mu.Unlock()
 	c := w.counts(service)
 	w.grant(c)
+	if len(c.waiters) == 0 && w.hasRoom(c) {
+		return 0, true // expectedWait allocates
+	}
 	return w.expectedWait(c, len(c.waiters)+1)
 }
 
--- a/retry/wait_test.go
+++ b/retry/wait_test.go
@@ -190,3 +190,19 @@
 		})
 	})
 }
+
+// Guards against a look at the retry budget that allocates memory for each request while retries are left.
+func TestLookAtRetriesThatAreLeftAllocatesNothing(t *testing.T) {
+	check := is.New(t)
+	window := retry.NewWindow(retry.WindowConfig{
+		Ratio:  0.2,
+		Slack:  50,
+		Window: 10 * time.Second,
+		Nodes:  func() int { return 1 },
+	})
+	allocations := testing.AllocsPerRun(100, func() {
+		wait, ok := window.RetryWait("svc")
+		check.True(ok && wait == 0)
+	})
+	check.Equal(allocations, 0.0)
+}
