--- a/entry/log_test.go
+++ b/entry/log_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"slices"
 	"strings"
 	"sync"
 )
@@ -34,3 +35,16 @@
 	text := l.text.String()
 	return text[max(0, len(text)-maxTail):]
 }
+
+// lines returns the lines that contain one of some texts.
+func (l *logBuffer) lines(texts ...string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found strings.Builder
+	for line := range strings.Lines(l.text.String()) {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+			found.WriteString(line)
+		}
+	}
+	return found.String()
+}
