Keep the metrics of failure domains while they are updated

Each round deleted and set the gauges of demand and share, so that a scrape between found none: one of some 25 plays of TestFleetFollowsUnevenDemand gathered 0 of 6 values.

--- a/scaling/metrics.go
+++ b/scaling/metrics.go
@@ -27,19 +27,20 @@
 }
 
 // observe updates the metrics of a service.
-func (m *metrics) observe(service string, demand, shares map[string]float64) {
-	m.demand.DeletePartialMatch(prometheus.Labels{
-		"service": service,
-	})
-	m.share.DeletePartialMatch(prometheus.Labels{
-		"service": service,
-	})
-	for domain, value := range demand {
-		m.demand.WithLabelValues(service, domain).Set(value)
+func (m *metrics) observe(service string, domains []string, demand, shares map[string]float64) {
+	for _, domain := range domains {
+		setOrDelete(m.demand, demand, service, domain)
+		setOrDelete(m.share, shares, service, domain)
 	}
-	for domain, value := range shares {
-		m.share.WithLabelValues(service, domain).Set(value)
+}
+
+// setOrDelete sets the value of a failure domain, or deletes it if there is none.
+func setOrDelete(gauge *prometheus.GaugeVec, values map[string]float64, service, domain string) {
+	if value, ok := values[domain]; ok {
+		gauge.WithLabelValues(service, domain).Set(value)
+		return
 	}
+	gauge.DeleteLabelValues(service, domain)
 }
 
 // reset removes the metrics of all services.
--- a/scaling/observe.go
+++ b/scaling/observe.go
@@ -28,7 +28,7 @@
 		}
 	}
 	shares := t.domains.Update(o)
-	c.metrics.observe(s.Service.Name, o.Demand, shares)
+	c.metrics.observe(s.Service.Name, s.Domains, o.Demand, shares)
 	if !maps.Equal(shares, t.shares) || (shares == nil) != (t.shares == nil) {
 		c.config.Logger.Info("replica shares changed", "service", s.Service.Name, "follow_demand", shares != nil,
 			"demand", domainText(o.Demand), "shares", domainText(shares), "present", domainText(counts(o.Present)))
