Hold the direction of a failure domain's plan for one round more

Orders may follow their plan a round later: one of some 25 plays of TestAlternatingDemandTurnsOrdersOncePerHalfMinute had orders turn after 29.5 s. The direction is now kept for 30.5 s where another failure domain can change instead. 40 plays passed.

--- a/scaling/domaindemand.go
+++ b/scaling/domaindemand.go
@@ -15,9 +15,12 @@
 	minUnevenReplicas = 1
 	// unevenTime is how long demand must be uneven before plans follow it.
 	unevenTime = 10 * time.Second
-	// decisionInterval is the time between two changes of the shares, and between two
-	// changes of direction of a failure domain's plan while demand alternates.
+	// decisionInterval is the time between two changes of the shares.
 	decisionInterval = 30 * time.Second
+	// turnInterval is the time between two changes of direction of a failure domain's plan
+	// while demand alternates. It is to be 30 s between orders, which may follow their plan
+	// a round later.
+	turnInterval = 30*time.Second + planInterval
 	// unknownTime is how long a new lease holder waits for the load of all failure
 	// domains before it stops keeping a distribution that it found.
 	unknownTime = 30 * time.Second
@@ -124,11 +127,11 @@
 }
 
 // Trends returns the failure domains whose plan turned to rise or to fall within
-// decisionInterval.
+// turnInterval.
 func (d *DomainDemand) Trends(now time.Time) (rising, falling map[string]bool) {
 	rising, falling = map[string]bool{}, map[string]bool{}
 	for domain, t := range d.trends {
-		if t.since.IsZero() || now.Sub(t.since) >= decisionInterval {
+		if t.since.IsZero() || now.Sub(t.since) >= turnInterval {
 			continue
 		}
 		rising[domain] = t.rises
