Restrict trials only where no retry is expected in time

Cause: the node's next retry is due within a second, so that a rejected request waits for it and is not lost, but trials were restricted as after a start.

Change: the rule holds only if no retry is expected while the request may wait, as in the refusal itself.

--- a/forward/place.go
+++ b/forward/place.go
@@ -134,25 +134,15 @@
 			}, true, false
 		}
 	}
-	hasRetry := h.hasRetry(c)
-	if c.owesRetry && !hasRetry {
-		return routed{}, false, false
-	}
-	return routed{}, false, c.place.entry.MayTry(hasRetry)
+	return routed{}, false, c.place.entry.MayTry(h.mayRetryInTime(c))
 }
 
 // sharesPlaces reports whether the request uses this node's own places first: requests wait for the
-// service at this node, or at others while this node has no retry. A process that has just started
+// service at this node, or at others while this node has no retry in time. A process that has just started
 // has few retries and no waiting requests. Without this, it sends to replicas that are full and
 // loses each request that they reject.
 func (h *Handler) sharesPlaces(c *call) bool {
-	return h.config.Queue.IsShort(c.service) || h.config.Queue.IsShortAnywhere(c.service) && !h.hasRetry(c)
-}
-
-// hasRetry reports whether the retry budget allows a retry now.
-func (h *Handler) hasRetry(c *call) bool {
-	wait, ok := h.config.RetryBudget.RetryWait(c.service)
-	return ok && wait == 0
+	return h.config.Queue.IsShort(c.service) || h.config.Queue.IsShortAnywhere(c.service) && !h.mayRetryInTime(c)
 }
 
 // recordRejection records that a replica had no place for the request.
