Ask random peers over connections that are open

Callers see no difference. A starting node asks three random peers at a time for the rollouts, each 0.2 s, and for the replicas, each 0.2 to 1.6 s, until one knows them. In a large fleet nearly each is a peer it has no connection to, and the handshake costs both ends far more than the question: handshakes were 33 of 76 s of processor time of a start of 100 nodes.

Pool.Sample prefers peers to which a connection is open, then those being connected to; the last one is any, so that a node whose connections lead to peers that do not help finds others. Callers in turn ask the connected ones first.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"zinniamast/canary"
@@ -169,7 +168,8 @@
 	return knows, err
 }
 
-// randomPeers returns the addresses of a few live peers, chosen at random.
+// randomPeers returns the addresses of a few live peers, chosen at random among those to which
+// connections are open and, for one of them, among all.
 func (e *Entry) randomPeers() []string {
 	var addresses []string
 	for _, member := range e.board.Members.All() {
@@ -177,8 +177,7 @@
 			addresses = append(addresses, member.Address)
 		}
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), maxConcurrentFetches)]
+	return e.peerPool.Sample(addresses, maxConcurrentFetches)
 }
 
 // fetchConfig fetches the configuration from a peer that announces a newer one. Every message
