--- a/reports/board.go
+++ b/reports/board.go
@@ -35,9 +35,6 @@
 	Demand map[string]demand.DomainLoad
 	// Rollouts are the reports on rollouts, see Query.
 	Rollouts []canary.DomainReport
-	// IsReader reports whether the answering node reads its failure domain's replicas itself.
-	// Nodes of an earlier version do not set it.
-	IsReader bool
 }
 
 // boardEntry is the newest report of a replica.
@@ -90,12 +87,6 @@
 	sweptAt time.Time
 	// changed is closed and replaced on each change.
 	changed chan struct{}
-	// releasedPosition is the position up to which reports are released to queries for all
-	// failure domains; released is closed and replaced when it advances.
-	releasedPosition uint64
-	released         chan struct{}
-	// isReleasing means that a release is scheduled.
-	isReleasing bool
 }
 
 // reportExpiry is the age from which a report is meaningless: its replica no
@@ -110,20 +101,15 @@
 // that a position from before a restart of the node is never taken for one of
 // this board.
 func NewBoard() *Board {
-	start := uint64(time.Now().UnixNano())
 	return &Board{
-		reports:          map[string]*boardEntry{},
-		position:         start,
-		changed:          make(chan struct{}),
-		releasedPosition: start,
-		released:         make(chan struct{}),
+		reports:  map[string]*boardEntry{},
+		position: uint64(time.Now().UnixNano()),
+		changed:  make(chan struct{}),
 	}
 }
 
-// Put stores reports and returns those that are newer than the known ones. Queries for all
-// failure domains that wait are answered after at most delay, together with what else is
-// stored until then; queries for one failure domain are answered at once.
-func (b *Board) Put(reports []Report, delay time.Duration) []Report {
+// Put stores reports and returns those that are newer than the known ones.
+func (b *Board) Put(reports []Report) []Report {
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -161,32 +147,9 @@
 	b.removeExpired(now)
 	close(b.changed)
 	b.changed = make(chan struct{})
-	switch {
-	case delay <= 0:
-		b.release()
-	case !b.isReleasing:
-		b.isReleasing = true
-		time.AfterFunc(delay, func() {
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			b.isReleasing = false
-			b.release()
-		})
-	}
 	return newer
 }
 
-// release answers the queries that wait for reports of all failure domains; the caller holds
-// the lock.
-func (b *Board) release() {
-	if b.releasedPosition == b.position {
-		return
-	}
-	b.releasedPosition = b.position
-	close(b.released)
-	b.released = make(chan struct{})
-}
-
 // removeExpired removes expired reports once in each sweepInterval; the caller holds the lock.
 func (b *Board) removeExpired(now time.Time) {
 	if now.Sub(b.sweptAt) < sweepInterval {
@@ -233,8 +196,6 @@
 	}
 }
 
-// since returns the reports after a position, and a channel that is closed when there may be
-// more. Reports that are not released yet are part of an answer that has others.
 func (b *Board) since(failureDomain string, position uint64) (Answer, <-chan struct{}) {
 	now := time.Now()
 	b.mu.Lock()
@@ -242,15 +203,6 @@
 	if position > b.position {
 		position = 0
 	}
-	changed := b.changed
-	if failureDomain == "" {
-		changed = b.released
-		if position >= b.releasedPosition {
-			return Answer{
-				Position: position,
-			}, changed
-		}
-	}
 	answer := Answer{
 		Position: b.position,
 	}
@@ -272,5 +224,5 @@
 			answer.Reports = append(answer.Reports, r)
 		}
 	}
-	return answer, changed
+	return answer, b.changed
 }
--- a/reports/board_test.go
+++ b/reports/board_test.go
@@ -14,7 +14,7 @@
 // fillBoard returns a board with a report of each of ten replicas a node, in four failure domains.
 func fillBoard(nodes int) *reports.Board {
 	b := reports.NewBoard()
-	b.Put(boardReports(0, 10*nodes), 0)
+	b.Put(boardReports(0, 10*nodes))
 	return b
 }
 
@@ -41,7 +41,7 @@
 				before := b.Examined()
 				for range 20 {
 					time.Sleep(300 * time.Millisecond)
-					check.Equal(len(b.Put(boardReports(40, 60), 0)), 60)
+					check.Equal(len(b.Put(boardReports(40, 60))), 60)
 					answer := b.Since(t.Context(), "", position, 0)
 					check.Equal(len(answer.Reports), 60)
 					position = answer.Position
@@ -64,7 +64,7 @@
 			position := b.Since(t.Context(), "", 0, 0).Position
 			batch := boardReports(40, 60)
 			allocations := testing.AllocsPerRun(200, func() {
-				b.Put(batch, 0)
+				b.Put(batch)
 				position = b.Since(t.Context(), "", position, 0).Position
 			})
 			t.Logf("%.1f allocations for a batch of 60 reports stored and answered", allocations)
@@ -83,7 +83,7 @@
 				replicas := 10 * nodes
 				for i := range 10 * replicas / 50 { // ten reports of each replica
 					time.Sleep(10 * time.Millisecond)
-					b.Put(boardReports(i*50%replicas, 50), 0)
+					b.Put(boardReports(i*50%replicas, 50))
 				}
 				before := b.Examined()
 				check.Equal(len(b.Since(t.Context(), "", 0, 0).Reports), replicas)
@@ -98,11 +98,11 @@
 func TestOlderReportOfBatchIsDropped(t *testing.T) {
 	check := is.New(t)
 	b := reports.NewBoard()
-	b.Put(boardReports(0, 3), 0)
+	b.Put(boardReports(0, 3))
 	batch := boardReports(0, 5)
 	batch[0].Age = time.Minute
 	batch[2].Age = time.Minute
-	newer := b.Put(batch, 0)
+	newer := b.Put(batch)
 	check.Equal(len(newer), 3)
 	for i, replica := range []string{"i-00001", "i-00003", "i-00004"} {
 		check.Equal(newer[i].Replica, replica)
@@ -118,11 +118,11 @@
 		check := is.New(t)
 		b := fillBoard(1)
 		time.Sleep(4900 * time.Millisecond)
-		b.Put(boardReports(0, 1), 0) // removes what has expired by now, which is nothing
+		b.Put(boardReports(0, 1)) // removes what has expired by now, which is nothing
 		check.Equal(len(b.Since(t.Context(), "", 0, 0).Reports), 10)
 		time.Sleep(200 * time.Millisecond)
 		check.Equal(len(b.Since(t.Context(), "", 0, 0).Reports), 1)
-		b.Put(boardReports(20, 1), 0)
+		b.Put(boardReports(20, 1))
 		check.Equal(len(b.Since(t.Context(), "", 0, 0).Reports), 2)
 	})
 }
@@ -149,7 +149,7 @@
 			batch := boardReports(40, 60)
 			b.ReportAllocs()
 			for b.Loop() {
-				board.Put(batch, 0)
+				board.Put(batch)
 				position = board.Since(b.Context(), "", position, 0).Position
 			}
 		})
--- a/reports/reader.go
+++ b/reports/reader.go
@@ -74,7 +74,7 @@
 		})
 	}
 	_ = group.Wait() // No function returns an error.
-	s.apply(read, s.answerDelay())
+	s.apply(read)
 }
 
 // read reads one replica. A failed reading has no consequence: the requests
--- a/reports/reports_test.go
+++ b/reports/reports_test.go
@@ -302,12 +302,12 @@
 	check.Equal(len(board.Put([]reports.Report{{
 		Replica: "a",
 		Running: 5,
-	}}, 0)), 1)
+	}})), 1)
 	check.Equal(len(board.Put([]reports.Report{{
 		Replica: "a",
 		Running: 1,
 		Age:     time.Second,
-	}}, 0)), 0)
+	}})), 0)
 	answer := board.Since(t.Context(), "", 0, 0)
 	check.Equal(answer.Reports[0].Running, 5)
 	check.Equal(len(board.Since(t.Context(), "", answer.Position, 0).Reports), 0)
--- a/reports/share.go
+++ b/reports/share.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"zinniamast"
@@ -93,8 +92,6 @@
 type Sharer struct {
 	config Config
 	board  *Board
-	// isReader means that this node reads its failure domain's replicas.
-	isReader atomic.Bool
 	// lastRead is the ID of the replica that was read last, if they are read in turns.
 	lastRead string
 }
@@ -129,7 +126,6 @@
 		asked = s.config.FailureDomain
 	}
 	answer.Rollouts = s.config.Rollouts.Domains(asked)
-	answer.IsReader = s.isReader.Load()
 	return answer
 }
 
@@ -144,10 +140,6 @@
 	maxQueryWait = 2 * time.Second
 	// queryTimeout is the time after which an unanswered query counts as failed.
 	queryTimeout = 1300 * time.Millisecond
-	// answerDelay is how much later a reader may pass on reports to the nodes of its failure
-	// domain, so that those of several failure domains share an answer. Without it each node
-	// gets one for each batch of each failure domain, 13 a second with four of them.
-	answerDelay = 50 * time.Millisecond
 	// retryDelay is the pause after a failed query of the reader, after all contacts of
 	// a failure domain have failed, or while there is no node to query.
 	retryDelay = 500 * time.Millisecond
@@ -171,7 +163,6 @@
 	position := uint64(0)
 	for ctx.Err() == nil {
 		peer := s.config.Reader()
-		s.isReader.Store(peer == nil)
 		if peer == nil {
 			s.config.Demand.SumDomain()
 			s.config.Rollouts.SumDomain()
@@ -240,13 +231,7 @@
 		s.config.Logger.Debug("fetching load reports from another node failed", "failure_domain", query.FailureDomain, "cause", err)
 		return Answer{}, err
 	}
-	// Only a reader's reports are delayed, and only once: those of another node have been
-	// delayed by the reader that it asked.
-	delay := time.Duration(0)
-	if query.FailureDomain != "" && answer.IsReader {
-		delay = s.answerDelay()
-	}
-	s.apply(answer.Reports, delay)
+	s.apply(answer.Reports)
 	for domain, load := range answer.Demand {
 		s.config.Demand.ReceiveDomain(domain, load)
 	}
@@ -254,20 +239,10 @@
 	return answer, nil
 }
 
-// answerDelay returns how much later reports may be passed on. The counts of rollouts travel
-// with the queries and are to arrive soon.
-func (s *Sharer) answerDelay() time.Duration {
-	if s.config.Rollouts.IsActive() {
-		return 0
-	}
-	return answerDelay
-}
-
-// apply stores reports on the board and passes the new ones to Config.OnReport. Other nodes
-// of the failure domain get them after at most delay.
-func (s *Sharer) apply(reports []Report, delay time.Duration) {
+// apply stores reports on the board and passes the new ones to Config.OnReport.
+func (s *Sharer) apply(reports []Report) {
 	now := time.Now()
-	for _, r := range s.board.Put(reports, delay) {
+	for _, r := range s.board.Put(reports) {
 		s.config.OnReport(r.Replica, zinniamast.LoadReport{
 			At:           now.Add(-r.Age),
 			Running:      r.Running,
