--- a/entry/peers.go
+++ b/entry/peers.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"zinniamast/canary"
@@ -168,8 +169,7 @@
 	return knows, err
 }
 
-// randomPeers returns the addresses of a few live peers, chosen at random among those to which
-// connections are open and, for one of them, among all.
+// randomPeers returns the addresses of a few live peers, chosen at random.
 func (e *Entry) randomPeers() []string {
 	var addresses []string
 	for _, member := range e.board.Members.All() {
@@ -177,7 +177,8 @@
 			addresses = append(addresses, member.Address)
 		}
 	}
-	return e.peerPool.Sample(addresses, maxConcurrentFetches)
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), maxConcurrentFetches)]
 }
 
 // fetchConfig fetches the configuration from a peer that announces a newer one. Every message
