--- a/forward/place.go
+++ b/forward/place.go
@@ -138,9 +138,9 @@
 }
 
 // sharesPlaces reports whether the request uses this node's own places first: requests wait for the
-// service at this node, or at others while this node has no retry in time. A process that has just started
-// has few retries and no waiting requests. Without this, it sends to replicas that are full and
-// loses each request that they reject.
+// service at this node, or at others while this node has no retry in time. A process that has just
+// started has few retries and no waiting requests; it would send to full replicas and lose each
+// request that they reject.
 func (h *Handler) sharesPlaces(c *call) bool {
 	return h.config.Queue.IsShort(c.service) || h.config.Queue.IsShortAnywhere(c.service) && !h.mayRetryInTime(c)
 }
--- a/queue/trial.go
+++ b/queue/trial.go
@@ -7,9 +7,9 @@
 const lastTrialTime = 2 * lookInterval
 
 // MayTry reports whether the request may try a replica at which this node holds no place, and
-// counts the trial. Rejections make trials rarer. hasRetry reports whether the request is
-// expected to be sent again after a rejection. If it cannot, a rejection ends the request, so that only one which would
-// have its turn last, or whose wait ends soon, may try.
+// counts the trial. Rejections make trials rarer. hasRetry reports whether a retry is expected
+// while the request may wait. Without one, a rejection ends the request, so that only a request that
+// would have its turn last, or whose wait ends soon, may try.
 func (e *Entry) MayTry(hasRetry bool) bool {
 	e.queue.mu.Lock()
 	defer e.queue.mu.Unlock()
--- a/reports/board_test.go
+++ b/reports/board_test.go
@@ -54,8 +54,7 @@
 	}
 }
 
-// TestStoringReportsAllocatesLittle guards against storing and answering that copies or indexes each report; a node
-// stores some 200 a second of each failure domain.
+// Guards against storing and answering that copies or indexes each of some 200 reports a second of each failure domain.
 func TestStoringReportsAllocatesLittle(t *testing.T) {
 	for _, nodes := range []int{30, 100, 300} {
 		t.Run(fmt.Sprintf("%d_nodes", nodes), func(t *testing.T) {
@@ -93,8 +92,7 @@
 	}
 }
 
-// TestOlderReportOfBatchIsDropped guards against an answer that replaces newer reports with those that arrived late
-// beside them.
+// Guards against an answer that replaces newer reports with those that arrived late beside them.
 func TestOlderReportOfBatchIsDropped(t *testing.T) {
 	check := is.New(t)
 	b := reports.NewBoard()
--- a/scaling/distribute_test.go
+++ b/scaling/distribute_test.go
@@ -78,8 +78,7 @@
 	s.Ordered = maps.Clone(plan)
 }
 
-// Guards against a failure domain whose replicas do not follow its demand, and against
-// more replicas than without it.
+// Guards against a failure domain whose replicas do not follow its demand, and against more replicas than without it.
 func TestReplicasFollowDemandOfOneToFourTimes(t *testing.T) {
 	check := is.New(t)
 	r := rand.New(rand.NewPCG(1, 1))
@@ -116,8 +115,7 @@
 	check.True(worst <= maxDeviation+1e-9) // 0.8-0.7 is not exact
 }
 
-// Guards against a failure domain with most replicas whose loss leaves too few. With 4 of 7
-// of the demand it gets 0.47 of the replicas, and 0.7 of the required ones remain.
+// Guards against a failure domain with most replicas whose loss leaves too few.
 func TestEnoughReplicasRemainWhenTheBusiestDomainIsLost(t *testing.T) {
 	check := is.New(t)
 	for _, required := range []int{30, 60, 84} {
--- a/scaling/unchanged_test.go
+++ b/scaling/unchanged_test.go
@@ -92,8 +92,8 @@
 	return text
 }
 
-// earlierPlans is the hash of the plans for the states of seed 1, as the version
-// before demand was considered made them.
+// earlierPlans is the hash of the plans for the random states as the version before
+// demand was considered made them.
 const earlierPlans = 79788120272987136
 
 // Guards against plans that change for services whose demand is even.
