Review: a crashing request keeps reaching replicas of one failure domain

Crashes in one failure domain count once in ten seconds, so the request is held back only after that time where all replicas are in one domain.

--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -72,8 +72,10 @@
 
 // Config describes a deployment.
 type Config struct {
-	// Entries is the number of entry instances, which alternate between Zones.
+	// Entries is the number of entry instances, which alternate between the zones.
 	Entries int
+	// Zones are the failure domains; nil means Zones.
+	Zones []string
 	// Configuration is the operator's configuration, which is written before the entries start.
 	Configuration string
 	// Root is the repository's root, where target/ is.
@@ -130,6 +132,9 @@
 
 // New starts the store and the cloud. Add replicas before Start.
 func New(config Config) (*Deployment, error) {
+	if config.Zones == nil {
+		config.Zones = Zones
+	}
 	directory, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -165,12 +170,15 @@
 	})
 }
 
+// zone returns the zone of an entry.
+func (d *Deployment) zone(entry int) string { return d.config.Zones[entry%len(d.config.Zones)] }
+
 // Start starts the entries and waits until they are ready.
 func (d *Deployment) Start() error {
 	var seeds []string
 	for i := range d.config.Entries {
 		e := &Entry{
-			Name:     fmt.Sprintf("edge-%s-%d", Zones[i%len(Zones)], i),
+			Name:     fmt.Sprintf("edge-%s-%d", d.zone(i), i),
 			settings: filepath.Join(d.Directory, fmt.Sprintf("edge-%d.toml", i)),
 			root:     d.config.Root,
 		}
@@ -190,7 +198,7 @@
 				return err
 			}
 		}
-		text := fmt.Sprintf(settings, e.Name, Zones[i%len(Zones)], strings.Join(seeds, ","), e.Frontend, e.Ready, e.Peer,
+		text := fmt.Sprintf(settings, e.Name, d.zone(i), strings.Join(seeds, ","), strings.Join(d.config.Zones, " = \"review\"\n"), e.Frontend, e.Ready, e.Peer,
 			storeAddress, strings.TrimPrefix(d.cloud.URL, "http://"))
 		if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 			return err
@@ -354,8 +362,7 @@
 heartbeatMs = 1200
 contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","quota","leader","platform"]
 [zones]
-zone-a = "review"
-zone-b = "review"
+%s = "review"
 [listen]
 frontend = %q
 ready = %q
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -82,6 +83,18 @@
 	}
 }
 
+// Crash ends the replica as a crash of its process does: all its channels are reset.
+func (r *Replica) Crash() {
+	r.mu.Lock()
+	for conn := range r.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	r.mu.Unlock()
+	r.Close()
+}
+
 // Runs returns how often each request has begun to run here, by its ID.
 func (r *Replica) Runs() map[string]int {
 	r.mu.Lock()
@@ -137,9 +150,11 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
 			return
 		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
 		id := request.Header.Get("Zinniamast-Request-Id")
 		if late != "" {
 			r.Record.Add("replica %s, channel %s: the late second answer goes out as request %s arrives", r.ID, conn.RemoteAddr(), id)
