--- a/review/1/main.go
+++ b/review/1/main.go
@@ -15,7 +15,7 @@
 
 // The load: replicas that each run slots requests at once for work, and the times between two
 // requests at the busy entries and at the others. The requesters spread unevenly over the entries.
-// All together send 1.4 times what the replicas can run.
+// All together send 0.95 times what the replicas can run, and burstFactor times as many in bursts.
 const (
 	entries      = 9
 	busyEntries  = 2
@@ -23,12 +23,19 @@
 	faulty       = 1
 	slots        = 4
 	work         = 100 * time.Millisecond
-	length       = 80 * time.Second
-	busyInterval = 25 * time.Millisecond
+	length       = 90 * time.Second
+	busyInterval = 45 * time.Millisecond
 	interval     = 220 * time.Millisecond
 	timeBudget   = 2500 * time.Millisecond
 )
 
+// The bursts come with and without the disruption: x and for_s of burst in the site file.
+const (
+	burstFactor = 1.7
+	burstLength = 3 * time.Second
+	burstPeriod = 4 * time.Second
+)
+
 // garbleShare bounds the part of its answers that the faulty replica sends twice: x of garble,
 // "extra late", in the site files. It sends refusals twice, and no other answers.
 const garbleShare = 0.03
@@ -68,6 +75,11 @@
 		return harness.ExitFailed, err
 	}
 	requester := harness.NewRequester(record, timeBudget)
+	bursts := harness.Bursts{
+		Factor: burstFactor,
+		Length: burstLength,
+		Period: burstPeriod,
+	}
 	var loads sync.WaitGroup
 	for i, e := range d.Entries {
 		pause := interval
@@ -77,7 +89,7 @@
 		loads.Add(1)
 		go func() {
 			defer loads.Done()
-			harness.Every(pause, length, func() { requester.Send(e.Frontend, http.MethodPost, "/book/seat", "one seat") })
+			harness.EveryWithBursts(pause, length, bursts, func() { requester.Send(e.Frontend, http.MethodPost, "/book/seat", "one seat") })
 		}()
 	}
 	loads.Wait()
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -19,7 +19,7 @@
 	slots    = 6
 	work     = 60 * time.Millisecond
 	length   = 20 * time.Second
-	interval = time.Second
+	interval = 4 * time.Second
 	// poisonInterval is the time from one attempt of the crashing request to the next.
 	poisonInterval = 700 * time.Millisecond
 	timeBudget     = 1500 * time.Millisecond
@@ -92,8 +92,10 @@
 	mu      sync.Mutex
 	started int
 	ended   bool
-	// arrivals are the times at which the crashing request began to run.
+	// arrivals are the times at which the crashing request began to run, and ids the IDs of the
+	// requesters' attempts.
 	arrivals []time.Time
+	ids      []string
 }
 
 // startReplica starts a process of a replica, with an ID of its own.
@@ -110,7 +112,7 @@
 	r.Run = func(request *http.Request) harness.Answer {
 		body, _ := io.ReadAll(request.Body)
 		if string(body) == poison {
-			s.recordPoison(r)
+			s.recordPoison(r, request.Header.Get("Zinniamast-Request-Id"))
 		}
 		return harness.Answer{
 			Status: http.StatusOK,
@@ -126,11 +128,12 @@
 }
 
 // recordPoison records that a replica has begun to run the crashing request, which ends it.
-func (s *script) recordPoison(r *harness.Replica) {
+func (s *script) recordPoison(r *harness.Replica, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.arrivals = append(s.arrivals, time.Now())
-	s.record.Add("replica %s begins to run the crashing request, run %d", r.ID, len(s.arrivals))
+	s.ids = append(s.ids, id)
+	s.record.Add("replica %s begins to run the crashing request %s, run %d", r.ID, id, len(s.arrivals))
 	if !harness.HasTrouble() {
 		return
 	}
@@ -180,14 +183,18 @@
 	s.ended = true
 }
 
-// check counts the retries of the crashing request that reached a replica later than contactMs after
-// the third crash.
+// check counts the retries of the crashing request that reached a replica and that a requester, and so
+// a machine, sent later than contactMs after the third crash.
 func (s *script) check() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	sent := map[string]time.Time{}
+	for _, reply := range s.requester.Replies() {
+		sent[reply.ID] = reply.Sent
+	}
 	retries := 0
-	for i, at := range s.arrivals {
-		if i > 2 && at.Sub(s.arrivals[2]) > contact {
+	for i, id := range s.ids {
+		if i > 2 && sent[id].Sub(s.arrivals[2]) > contact {
 			retries++
 		}
 	}
