--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -80,6 +80,8 @@
 	Configuration string
 	// Root is the repository's root, where target/ is.
 	Root string
+	// HasLinks gives each entry a link of its own to the store.
+	HasLinks bool
 }
 
 // Deployment is a set of entry instances with the stand-ins around them.
@@ -104,6 +106,8 @@
 	Frontend string
 	Ready    string
 	Peer     string
+	// Link is the way to the store; nil without Config.HasLinks.
+	Link *Link
 
 	metrics   int
 	settings  string
@@ -157,32 +161,55 @@
 // AddReplica writes a replica's entry to the store, and again at each heartbeat until the replica
 // ends.
 func (d *Deployment) AddReplica(r *Replica, zone string) {
-	d.putReplica(r, zone, 1)
+	d.putReplica(r, zone)
 	go func() {
-		for sequence := 2; ; sequence++ {
+		for {
 			select {
 			case <-r.ended:
 				return
 			case <-time.After(heartbeat):
 			}
-			d.putReplica(r, zone, sequence)
+			d.putReplica(r, zone)
 		}
 	}()
 }
 
+// Drain reports that a replica leaves and returns when the store has acknowledged that. The replica
+// goes on serving.
+func (d *Deployment) Drain(r *Replica, zone string) time.Time {
+	r.mu.Lock()
+	r.isLeaving = true
+	r.mu.Unlock()
+	d.putReplica(r, zone)
+	return time.Now()
+}
+
+// Remove deletes the entry of a replica that has ended.
+func (d *Deployment) Remove(r *Replica) { d.Store.Remove("servers", r.ID) }
+
 // heartbeat is heartbeatMs of the settings.
 const heartbeat = 1200 * time.Millisecond
 
-func (d *Deployment) putReplica(r *Replica, zone string, sequence int) {
+func (d *Deployment) putReplica(r *Replica, zone string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := "ready"
+	switch {
+	case r.closed:
+		return
+	case r.isLeaving:
+		state = "draining"
+	}
+	r.sequence++
 	d.Store.PutJSON("servers", r.ID, map[string]any{
 		"service":         r.Service,
 		"address":         r.Address(),
 		"zone":            zone,
 		"version":         "v1",
 		"slots":           r.Slots,
-		"state":           "ready",
+		"state":           state,
 		"coldRemainingMs": 0,
-		"sequence":        sequence,
+		"sequence":        r.sequence,
 		"born":            r.Born.UnixMilli(),
 	})
 }
@@ -214,8 +241,16 @@
 		d.Entries = append(d.Entries, e)
 	}
 	for i, e := range d.Entries {
+		storeAddress := d.Store.Address()
+		if d.config.HasLinks {
+			link, err := NewLink(storeAddress)
+			if err != nil {
+				return err
+			}
+			e.Link, storeAddress = link, link.Address()
+		}
 		text := fmt.Sprintf(settings, e.Name, fmt.Sprintf("127.0.1.%d", i+1), d.zone(i), strings.Join(seeds, ","), strings.Join(d.config.Zones, " = \"review\"\n"), e.Frontend, e.Ready, e.Peer,
-			d.Store.Address(), strings.TrimPrefix(d.cloud.URL, "http://"))
+			storeAddress, strings.TrimPrefix(d.cloud.URL, "http://"))
 		if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
@@ -361,6 +396,9 @@
 		<-ended
 	}
 	_ = e.log.Close()
+	if e.Link != nil {
+		e.Link.Close()
+	}
 }
 
 // freePorts returns four ports that are free at a loopback address. No other socket takes them until
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -49,6 +49,10 @@
 	answers, repeated int
 	conns             map[net.Conn]bool
 	closed            bool
+	// isLeaving reports whether the replica has said that it leaves, and sequence counts what it
+	// has said.
+	isLeaving bool
+	sequence  int
 	// ended is closed with the replica.
 	ended chan struct{}
 }
