--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -25,7 +25,10 @@
 	Record *Record
 	// Timeout is the time budget of each request.
 	Timeout time.Duration
-	client  http.Client
+	// Key is the requester's key, and Prefix begins the IDs of its requests.
+	Key    string
+	Prefix string
+	client http.Client
 
 	mu      sync.Mutex
 	sent    int
@@ -37,6 +40,8 @@
 	return &Requester{
 		Record:  record,
 		Timeout: timeout,
+		Key:     Key,
+		Prefix:  "r",
 		client: http.Client{
 			Transport: &http.Transport{
 				MaxIdleConnsPerHost: 64,
@@ -53,7 +58,7 @@
 	c.mu.Lock()
 	c.sent++
 	reply := Reply{
-		ID:   fmt.Sprintf("r%06d", c.sent),
+		ID:   fmt.Sprintf("%s%06d", c.Prefix, c.sent),
 		Sent: time.Now(),
 	}
 	c.mu.Unlock()
@@ -82,7 +87,7 @@
 	request.Host = Host
 	request.Header.Set("Zinniamast-Request-Id", reply.ID)
 	request.Header.Set("Zinniamast-Deadline-Ms", fmt.Sprint(c.Timeout.Milliseconds()))
-	request.Header.Set("Api-Key", Key)
+	request.Header.Set("Api-Key", c.Key)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return err
