Log to which send a replica's refusal belongs

Callers saw refusals with a promise for requests that ran, and the log could not tell the hypotheses apart: a refused send was logged at a retry only. Each refusal of a replica now has a line with whether the answer names the request, which send it answers, the peer that relayed it, and how many requests its connection had carried before.

--- a/forward/send.go
+++ b/forward/send.go
@@ -52,6 +52,8 @@
 	silent        bool
 	followsAnswer bool
 
+	// connection describes the connection that the send used.
+	connection zinniamast.Connection
 	// isOvertaken reports whether another replica has begun to answer while this one was late.
 	isOvertaken bool
 	// isRejected reports whether the replica had no place for the request.
@@ -326,7 +328,7 @@
 	if err != nil {
 		return upstreamError(s.upstream, zinniamast.FailureInvalid, err)
 	}
-	ctx := s.ctx
+	ctx := zinniamast.WithConnection(s.ctx, &s.connection)
 	if c.route.Repeatable() {
 		ctx = zinniamast.WithRepeatable(ctx)
 	}
@@ -348,6 +350,7 @@
 		h.recordFeedback(s, reply.Feedback)
 	}
 	if reply.NotRun {
+		h.logRefusal(c, s, reply)
 		s.isRejected = reply.Feedback.Rejected
 		if reply.WrongInstance && h.config.Upstreams.MarkLeaving(s.upstream.Instance.ID, time.Time{}) {
 			h.config.Logger.Info("replica marked as leaving", "replica", s.upstream.Instance.ID, "sign", "another instance answers")
@@ -368,6 +371,13 @@
 	return nil
 }
 
+// logRefusal logs what shows to which request a replica's refusal belongs.
+func (h *Handler) logRefusal(c *call, s *send, reply Reply) {
+	h.config.Logger.Info("replica refused request", "request", c.metadata.ID, "replica", s.upstream.Instance.ID, "status", s.response.StatusCode,
+		"names_request", reply.ID != "", "attempt", s.attempt, "through", s.detour.Node, "after", time.Since(s.started).Round(time.Microsecond),
+		"connection_requests", s.connection.Requests, "connection_idle", s.connection.Idle.Round(time.Microsecond))
+}
+
 // awaitStart waits until the replica has begun to answer: with the first whole event of a
 // stream, or else with the whole answer or its first maxBufferedBytes.
 func (h *Handler) awaitStart(c *call, s *send) *zinniamast.UpstreamError {
--- a/plain/client.go
+++ b/plain/client.go
@@ -113,6 +113,7 @@
 func (c *Client) Send(ctx context.Context, request *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	guard := &sendGuard{
+		ctx:      ctx,
 		deadline: time.Unix(0, math.MaxInt64),
 		cancel:   cancel,
 	}
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"zinniamast"
 	"zinniamast/httplimit"
 )
 
@@ -34,6 +35,8 @@
 	net.Conn
 	state    atomic.Int32
 	deadline atomic.Int64
+	// requests counts the requests that were given the connection.
+	requests int
 }
 
 // prepare resets the connection for a request that may be sent until the deadline.
@@ -104,6 +107,7 @@
 // connection is allowed only if the first one is sealed, with no byte written;
 // otherwise the second connection is sealed and the request is cancelled.
 type sendGuard struct {
+	ctx      context.Context
 	deadline time.Time
 	cancel   context.CancelFunc
 
@@ -134,6 +138,11 @@
 	next.prepare(g.deadline)
 	g.current = next
 	g.reused, g.idle = info.Reused, info.IdleTime
+	zinniamast.RecordConnection(g.ctx, zinniamast.Connection{
+		Requests: next.requests,
+		Idle:     info.IdleTime,
+	})
+	next.requests++
 }
 
 // describe adds to the error of a request whether it was sent on a reused connection. A
--- a/replica.go
+++ b/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 )
 
 // Replica is the client of one upstream that receives requests unmodified.
@@ -32,3 +33,25 @@
 
 // IsRepeatable reports whether a context was marked by WithRepeatable.
 func IsRepeatable(ctx context.Context) bool { return ctx.Value(repeatableKey{}) != nil }
+
+// Connection describes the connection that a send used.
+type Connection struct {
+	// Requests counts the earlier requests on the connection, and Idle is the time since the last
+	// one ended; both are zero for a new connection.
+	Requests int
+	Idle     time.Duration
+}
+
+type connectionKey struct{}
+
+// WithConnection returns a context whose sends are described in c.
+func WithConnection(ctx context.Context, c *Connection) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// RecordConnection describes a send's connection in the Connection of its context, if that has one.
+func RecordConnection(ctx context.Context, used Connection) {
+	if c, ok := ctx.Value(connectionKey{}).(*Connection); ok {
+		*c = used
+	}
+}
