Send a request once on each connection (REFUSED, TWICE)

Cause: an answer was matched to a send by the request's ID alone, and one ID is sent again after a refusal. A replica's second copy of the refusal, which comes late on that connection, passed for the answer to the next send. Class: an answer matched by an ID that several sends share.

Change: a connection to a replica remembers the IDs that it has carried and is not given one of them again; it is closed before a byte is written, and net/http goes on to another one. The copy then meets an idle connection, which net/http closes, or a request with another ID, which is taken for unknown. It holds for sends through a peer as well, as the connection is the peer's. A connection that has carried 256 requests is replaced, which bounds its memory to 2 KB.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -101,6 +101,7 @@
 		Address:     "http://" + address,
 		DialTimeout: replicaDialTimeout,
 		IdleTimeout: replicaIdleTimeout,
+		RequestID:   platform.Headers{}.RequestID,
 	}))
 }
 
--- a/entry/egress.go
+++ b/entry/egress.go
@@ -42,7 +42,7 @@
 			return e.owners.Holders(upstream.Instance.ID, upstream.Slots)
 		},
 		TakePlace:  e.takePlace,
-		RequestID:  func(header http.Header) string { return platform.Headers{}.ReadRequest(header).ID },
+		RequestID:  platform.Headers{}.RequestID,
 		Logger:     e.config.Logger,
 		Registerer: e.registry,
 	})
--- a/forward/refused_test.go
+++ b/forward/refused_test.go
@@ -15,6 +15,7 @@
 	"zinniamast"
 	"zinniamast/blackboard"
 	"zinniamast/plain"
+	"zinniamast/platform"
 )
 
 // wireReplica is a replica that writes the bytes of its answers itself, so that a test sets their
@@ -51,8 +52,9 @@
 			Started:       time.UnixMilli(1),
 		},
 		Replica: plain.New(plain.Config{
-			Upstream: "i-wire",
-			Address:  "http://" + listener.Addr().String(),
+			Upstream:  "i-wire",
+			Address:   "http://" + listener.Addr().String(),
+			RequestID: platform.Headers{}.RequestID,
 		}),
 		Slots: 8,
 	})
--- a/plain/client.go
+++ b/plain/client.go
@@ -44,6 +44,9 @@
 	// shorter than the idle timeout of the service, so that a request is not sent on
 	// a connection that the service is closing. Zero means 15 s.
 	IdleTimeout time.Duration
+	// RequestID returns the ID that answers repeat. A request is not sent twice on one
+	// connection then. Nil means that the ID differs from send to send.
+	RequestID func(header http.Header) string
 	// MaxAnswer is the maximum size of the body of an answer in bytes; zero means
 	// 8 MiB.
 	MaxAnswer int64
@@ -120,6 +123,9 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		guard.deadline = deadline
 	}
+	if c.config.RequestID != nil {
+		guard.request = c.config.RequestID(request.Header)
+	}
 	trace := &httptrace.ClientTrace{
 		GotConn: guard.gotConn,
 	}
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"net"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"zinniamast"
 	"zinniamast/httplimit"
 )
@@ -35,8 +38,29 @@
 	net.Conn
 	state    atomic.Int32
 	deadline atomic.Int64
-	// requests counts the requests that were given the connection.
+	// requests counts the requests that were given the connection, and carried holds the hashes
+	// of their IDs.
 	requests int
+	carried  []uint64
+}
+
+// maxCarried bounds the requests that a connection remembers. One that has carried as many is not
+// used again.
+const maxCarried = 256
+
+// mayCarry reports whether the connection has not carried a request with this ID before, and
+// remembers it if so. An answer is matched to a send by the ID, so a second copy of the answer to
+// an earlier send on the connection would pass for that to the next one.
+func (c *conn) mayCarry(id string) bool {
+	if id == "" {
+		return true
+	}
+	hash := xxh3.HashString(id)
+	if len(c.carried) == maxCarried || slices.Contains(c.carried, hash) {
+		return false
+	}
+	c.carried = append(c.carried, hash)
+	return true
 }
 
 // prepare resets the connection for a request that may be sent until the deadline.
@@ -108,6 +132,7 @@
 // otherwise the second connection is sealed and the request is cancelled.
 type sendGuard struct {
 	ctx      context.Context
+	request  string
 	deadline time.Time
 	cancel   context.CancelFunc
 
@@ -137,6 +162,10 @@
 	}
 	next.prepare(g.deadline)
 	g.current = next
+	if !next.mayCarry(g.request) {
+		next.seal() // net/http goes on to another connection, as nothing was written
+		return
+	}
 	g.reused, g.idle = info.Reused, info.IdleTime
 	zinniamast.RecordConnection(g.ctx, zinniamast.Connection{
 		Requests: next.requests,
