Take no refusal that names no request for a promise (REFUSED)

Callers got 503 for requests that ran.

Class: an answer that is matched by its place alone. Change: for a request that may not be repeated, a refusal counts if it names the request, or if it is the first answer on its connection; otherwise it is open whether the request has run (502). A peer that relays a request says how many requests its connection had carried. Repeatable requests go on as before.

--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -134,6 +134,20 @@
 	}
 }
 
+// Guards against a refusal that counts because the connection over which the peer received it passes for a new one.
+func TestRelayedAnswerTellsOfThePeersConnection(t *testing.T) {
+	f := newFixture(t)
+	for earlier := range 2 {
+		var connection zinniamast.Connection
+		response, err := f.send(zinniamast.WithConnection(t.Context(), &connection))
+		f.is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		f.is.NoErr(err)
+		f.is.NoErr(response.Body.Close())
+		f.is.Equal(connection.Requests, earlier)
+	}
+}
+
 // Guards against an answer that its replica broke off and that ends like a whole one behind a peer.
 func TestRelayedAnswerCutShortIsNotWhole(t *testing.T) {
 	f := newFixture(t)
--- a/egress/receiver.go
+++ b/egress/receiver.go
@@ -76,7 +76,8 @@
 		writeOutcome(w, outcomeUnreachable, err.Error())
 		return
 	}
-	response, err := replica.sendDirect(ctx, l, upstream, request)
+	var connection zinniamast.Connection
+	response, err := replica.sendDirect(zinniamast.WithConnection(ctx, &connection), l, upstream, request)
 	if isDialFailure(err) {
 		writeOutcome(w, outcomeUnreachable, err.Error())
 		return
@@ -88,7 +89,7 @@
 	defer response.Body.Close()
 	e.metrics.relayedForPeers.Inc()
 	onAnswer(response)
-	passOn(w, response)
+	passOn(w, response, connection)
 }
 
 // relayContext returns the context of a relayed request.
@@ -156,7 +157,7 @@
 }
 
 // passOn writes a replica's answer to a peer as it comes, and how it ended as the trailer.
-func passOn(w http.ResponseWriter, response *http.Response) {
+func passOn(w http.ResponseWriter, response *http.Response, connection zinniamast.Connection) {
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
@@ -169,6 +170,7 @@
 		header["Content-Type"] = nil
 	}
 	header.Set(headerOutcome, outcomeAnswered)
+	header.Set(headerRequests, strconv.Itoa(connection.Requests))
 	header.Set("Trailer", trailerEnd)
 	w.WriteHeader(response.StatusCode)
 	header.Set(trailerEnd, endOf(copyFlushing(w, response.Body)))
--- a/egress/relay.go
+++ b/egress/relay.go
@@ -32,7 +32,9 @@
 	// headerOutcome says whether the replica answered, and trailerEnd, after the answer,
 	// whether that is whole.
 	headerOutcome = "Relay-Outcome"
-	trailerEnd    = "Relay-End"
+	// headerRequests is the number of earlier requests on the peer's connection to the replica.
+	headerRequests = "Relay-Requests"
+	trailerEnd     = "Relay-End"
 )
 
 // The outcomes of a relayed request other than a zinniamast.Failure.
@@ -128,7 +130,9 @@
 	outcome := response.Header.Get(headerOutcome)
 	switch outcome {
 	case outcomeAnswered:
+		recordConnection(ctx, response.Header)
 		response.Header.Del(headerOutcome)
+		response.Header.Del(headerRequests)
 		if hasBody(request.Method, response.StatusCode) {
 			response.Body = &relayedBody{
 				response: response,
@@ -159,6 +163,18 @@
 	}
 }
 
+// recordConnection records the peer's connection to the replica. One of which the peer says nothing
+// may have carried other requests.
+func recordConnection(ctx context.Context, header http.Header) {
+	requests, err := strconv.Atoi(header.Get(headerRequests))
+	if err != nil {
+		requests = 1
+	}
+	zinniamast.RecordConnection(ctx, zinniamast.Connection{
+		Requests: requests,
+	})
+}
+
 // maxMessageBytes bounds the text that a peer sends with a failure.
 const maxMessageBytes = 1 << 10
 
--- a/forward/send.go
+++ b/forward/send.go
@@ -346,11 +346,17 @@
 	if reply.ID != "" && reply.ID != c.metadata.ID {
 		return upstreamError(s.upstream, zinniamast.FailureWrongAttempt, fmt.Errorf("forward: answer belongs to request %q", reply.ID))
 	}
+	if reply.NotRun {
+		h.logRefusal(c, s, reply)
+	}
+	if reply.NotRun && reply.ID == "" && s.connection.Requests > 0 && !c.route.Repeatable() {
+		// It may be a second answer to an earlier request on the connection.
+		return upstreamError(s.upstream, zinniamast.FailureWrongAttempt, fmt.Errorf("forward: refusal with status %d names no request", response.StatusCode))
+	}
 	if reply.Signed || reply.NotRun && !reply.WrongInstance {
 		h.recordFeedback(s, reply.Feedback)
 	}
 	if reply.NotRun {
-		h.logRefusal(c, s, reply)
 		s.isRejected = reply.Feedback.Rejected
 		if reply.WrongInstance && h.config.Upstreams.MarkLeaving(s.upstream.Instance.ID, time.Time{}) {
 			h.config.Logger.Info("replica marked as leaving", "replica", s.upstream.Instance.ID, "sign", "another instance answers")
