--- a/entry/origin.go
+++ b/entry/origin.go
@@ -33,6 +33,9 @@
 		Put:       e.putOrigins,
 		Find:      e.findOrigin,
 		IsFresh:   func() bool { return e.follower.HasHeard(maxReplicaAge) },
+		Table:     e.table,
+		Instance:  e.config.Settings.Instance,
+		Nodes:     func() int { return len(e.roster.Instances()) },
 		Logger:    e.config.Logger,
 	})
 	return e.peerServer.RegisterPeer(originsName, &OriginReceiver{
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -23,7 +23,7 @@
 	_, _ = io.WriteString(w, refusal.Message+"\n")
 	h.metrics.refused.WithLabelValues(string(refusal.Reason)).Inc()
 	h.config.Logger.Warn("request refused", "request", c.metadata.ID, "status", status, "reason", refusal.Reason,
-		"ran", refusal.Ran, "service", c.service, "config", c.configVersion, "arrivals", c.arrivals, "avoid", c.avoid,
+		"ran", refusal.Ran, "service", c.service, "resumes", c.metadata.Resumes, "config", c.configVersion, "arrivals", c.arrivals, "avoid", c.avoid,
 		"cause", c.lastError(),
 		"retry_after", refusal.RetryAfter, "elapsed", time.Since(c.arrived).Round(time.Millisecond))
 }
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -48,6 +48,12 @@
 	Find func(ctx context.Context, address string, query Query) (Answer, error)
 	// IsFresh reports whether Upstreams has heard of the newest replicas; nil means always.
 	IsFresh func() bool
+	// Table keeps the origins of this instance's streams in the item of Instance; nil means that
+	// they are lost with the process.
+	Table    zinniamast.Table
+	Instance string
+	// Nodes returns the number of instances that write to the table; nil means one.
+	Nodes func() int
 	// Logger logs holders that do not answer; nil means slog's default.
 	Logger *slog.Logger
 }
@@ -121,6 +127,9 @@
 	if config.IsFresh == nil {
 		config.IsFresh = func() bool { return true }
 	}
+	if config.Nodes == nil {
+		config.Nodes = func() int { return 1 }
+	}
 	if config.Logger == nil {
 		config.Logger = slog.Default()
 	}
@@ -284,10 +293,11 @@
 // tell queues the origin of a stream of this instance for its holders. The caller holds the
 // lock.
 func (d *Directory) tell(stream string) {
+	holders := d.config.Holders(stream, holderCount)
 	r := d.own[stream]
-	r.isTold = true
+	r.isTold = len(holders) > 0
 	d.own[stream] = r
-	for _, holder := range d.config.Holders(stream, holderCount) {
+	for _, holder := range holders {
 		d.queued[holder.Address] = append(d.queued[holder.Address], r.origin)
 	}
 	select {
@@ -296,8 +306,9 @@
 	}
 }
 
-// Run sends origins to their holders until ctx ends.
+// Run sends origins to their holders, and stores them, until ctx ends.
 func (d *Directory) Run(ctx context.Context) {
+	go d.keepStored(ctx)
 	observe, refresh := time.NewTicker(observeInterval), time.NewTicker(refreshInterval)
 	defer observe.Stop()
 	defer refresh.Stop()
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -34,6 +34,8 @@
 // node is an instance of a fleet.
 type node struct {
 	*origin.Directory
+	id     string
+	stop   context.CancelFunc
 	roster *roster.Roster
 	// isGone means that no call reaches the node or leaves it, and isStale that it hears of no
 	// new replicas.
@@ -63,19 +65,27 @@
 	}
 	for _, entry := range entries {
 		n := &node{
+			id: entry.ID,
 			roster: roster.New(roster.Config{
 				ID:     entry.ID,
 				Logger: slog.New(slog.DiscardHandler),
 			}),
 		}
 		n.roster.Set(entries)
-		n.Directory = f.newDirectory(n, f.newVersions(true))
 		f.nodes = append(f.nodes, n)
-		go n.Run(t.Context())
+		f.start(t, n, f.newVersions(true))
 	}
 	return f
 }
 
+// start starts a process of a node, after the one before it has been stopped.
+func (f *fleet) start(t *testing.T, n *node, versions *origin.Versions) {
+	n.Directory = f.newDirectory(n, versions)
+	ctx, stop := context.WithCancel(t.Context())
+	n.stop = stop
+	go n.Run(ctx)
+}
+
 func (f *fleet) newVersions(isFirstStart bool) *origin.Versions {
 	return origin.NewVersions(origin.VersionsConfig{
 		Upstreams:    f.upstreams,
@@ -114,8 +124,10 @@
 			}
 			return f.at(address).Answer(query), nil
 		},
-		IsFresh: func() bool { return !n.isStale.Load() },
-		Logger:  slog.New(slog.DiscardHandler),
+		IsFresh:  func() bool { return !n.isStale.Load() },
+		Table:    f.table,
+		Instance: n.id,
+		Logger:   slog.New(slog.DiscardHandler),
 	})
 }
 
@@ -160,10 +172,9 @@
 
 // memoryTable is a table with one partition.
 type memoryTable struct {
-	mu       sync.Mutex
-	items    map[zinniamast.Key]zinniamast.Item
-	revision uint64
-	writes   int
+	mu     sync.Mutex
+	items  map[zinniamast.Key]zinniamast.Item
+	writes int
 }
 
 func (m *memoryTable) Get(_ context.Context, key zinniamast.Key) (zinniamast.Item, error) {
@@ -195,8 +206,7 @@
 	}
 	m.writes++
 	for _, w := range writes {
-		m.revision++
-		w.Item.Revision = m.revision
+		w.Item.Revision = w.Expect + 1
 		m.items[w.Item.Key] = w.Item
 	}
 	return nil
@@ -358,6 +368,40 @@
 	})
 }
 
+// Guards against streams that end although replicas of their version are there, after all instances have lost power.
+func TestOriginsOutlastAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, "v1", "v2")
+		for i, n := range f.nodes {
+			n.Began("svc", fmt.Sprint("r-1-", i), "v1")
+			n.Began("svc", fmt.Sprint("r-2-", i), "v2")
+			n.Began("svc", fmt.Sprint("r-ended-", i), "v2")
+			n.Ended(fmt.Sprint("r-ended-", i))
+		}
+		for round := range 3 {
+			time.Sleep(2 * time.Second)
+			for _, n := range f.nodes {
+				n.stop()
+			}
+			for _, n := range f.nodes {
+				f.start(t, n, f.newVersions(false))
+			}
+			time.Sleep(time.Second)
+			f.nodes[0].Began("svc", fmt.Sprint("r-new-", round), "v2")
+			for i := range f.nodes {
+				taker := f.nodes[(i+1+round)%len(f.nodes)]
+				f.check.Equal(f.find(taker, fmt.Sprint("r-1-", i)), "v1")
+				f.check.Equal(f.find(taker, fmt.Sprint("r-2-", i)), "v2")
+				f.check.Equal(f.find(taker, fmt.Sprint("r-ended-", i)), "")
+			}
+		}
+		time.Sleep(2 * time.Minute)
+		writes := f.table.writeCount()
+		time.Sleep(time.Minute)
+		f.check.Equal(f.table.writeCount(), writes) // nothing changes
+	})
+}
+
 // Guards against a process that takes the version that it sees for the only one, although another one served before it started.
 func TestVersionsBeforeTheStartAreRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
