--- a/egress/receiver.go
+++ b/egress/receiver.go
@@ -7,12 +7,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/plain"
 )
 
 const (
@@ -107,6 +107,10 @@
 // receivedRequest returns the request for a replica: the relayed one without the headers of
 // the relay.
 func (e *Egress) receivedRequest(w http.ResponseWriter, r *http.Request, upstream *blackboard.Upstream) (*http.Request, error) {
+	target, err := plain.Target(upstream.Instance.Address, r.RequestURI)
+	if err != nil {
+		return nil, err
+	}
 	connection := http.NewResponseController(w)
 	if err := connection.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, err
@@ -127,13 +131,8 @@
 		header["User-Agent"] = []string{""}
 	}
 	request := &http.Request{
-		Method: r.Method,
-		// Opaque is written to the request line unchanged.
-		URL: &url.URL{
-			Scheme: "http",
-			Host:   upstream.Instance.Address,
-			Opaque: r.RequestURI,
-		},
+		Method:        r.Method,
+		URL:           target,
 		Host:          r.Host,
 		Header:        header,
 		Proto:         "HTTP/1.1",
--- a/forward/send.go
+++ b/forward/send.go
@@ -7,15 +7,14 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"zinniamast"
 	"zinniamast/blackboard"
 	"zinniamast/canary"
+	"zinniamast/plain"
 	"zinniamast/quarantine"
 	"zinniamast/routes"
 )
@@ -442,8 +441,9 @@
 // newRequest builds the request for a replica: the caller's method, path and body
 // unchanged, with the time until the caller's deadline.
 func (h *Handler) newRequest(c *call, s *send) (*http.Request, error) {
-	if !strings.HasPrefix(c.request.RequestURI, "/") {
-		return nil, fmt.Errorf("forward: request target %q is not a path", c.request.RequestURI)
+	target, err := plain.Target(s.upstream.Instance.Address, c.request.RequestURI)
+	if err != nil {
+		return nil, err
 	}
 	header := c.request.Header.Clone()
 	dropHopByHop(header)
@@ -461,13 +461,8 @@
 		LastEventID:  s.after,
 	})
 	request := &http.Request{
-		Method: c.request.Method,
-		// Opaque is written to the request line unchanged.
-		URL: &url.URL{
-			Scheme: "http",
-			Host:   s.upstream.Instance.Address,
-			Opaque: c.request.RequestURI,
-		},
+		Method:     c.request.Method,
+		URL:        target,
 		Host:       c.request.Host,
 		Header:     header,
 		Proto:      "HTTP/1.1",
