Let an escaped slash select no other route (ROUTE)

Cause: the route was chosen by the decoded path, and the path as sent was forwarded. Class: what is checked is not what is sent. Change: escaped slashes stay escaped in the path by which the route is chosen; other escapes are decoded as before.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"runtime/debug"
 	"slices"
 	"strings"
@@ -318,7 +319,7 @@
 	}
 	c.limits = table.Limits
 	c.configVersion = table.Version
-	c.route = table.Match(hostOf(r), r.URL.Path)
+	c.route = table.Match(hostOf(r), routePath(r.URL))
 	if c.route == nil {
 		return c, zinniamast.Refuse(zinniamast.ReasonNotFound, "no route")
 	}
@@ -367,6 +368,22 @@
 	return r.Host
 }
 
+// routePath returns the decoded path of a request, in which escaped slashes stay escaped: the path is
+// forwarded as it was sent, and they separate nothing there.
+func routePath(u *url.URL) string {
+	if u.RawPath == "" {
+		return u.Path
+	}
+	path, err := url.PathUnescape(escapedSlashes.Replace(u.RawPath))
+	if err != nil {
+		return u.Path // net/url has decoded the same path
+	}
+	return path
+}
+
+// escapedSlashes escapes the escape character of slashes.
+var escapedSlashes = strings.NewReplacer("%2F", "%252F", "%2f", "%252f")
+
 // pickService selects a service of the route by a hash of the stream or request ID, in
 // proportion to the weights of the split.
 func pickService(r *routes.Route, id string) string {
