--- a/forward/answer.go
+++ b/forward/answer.go
@@ -83,13 +83,16 @@
 		h.recordStart(c, s)
 	}
 	a.status = s.plain.status
-	if len(s.plain.body) < maxBufferedBytes {
+	if s.plain.isWhole() {
 		s.plain.writeTo(a.writer)
 		return nil
 	}
 	return h.forwardLarge(a, s)
 }
 
+// isWhole reports whether a plain answer is buffered with all of its body.
+func (a *answer) isWhole() bool { return len(a.body) < maxBufferedBytes }
+
 // writeTo writes a buffered answer.
 func (a *answer) writeTo(w http.ResponseWriter) {
 	copyHeader(w.Header(), a.header)
--- a/forward/run.go
+++ b/forward/run.go
@@ -151,7 +151,7 @@
 			c.place.recordRejection(failure.Upstream)
 		}
 	case zinniamast.FailureError:
-		if s.plain != nil {
+		if s.plain != nil && s.plain.isWhole() {
 			c.failedAnswer = s.plain
 		}
 	}
