--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -253,10 +253,12 @@
 		<-run.Disconnected
 		panic(http.ErrAbortHandler)
 	case b.NotRun:
+		w.Header().Set("Zinniamast-Request-Id", run.ID)
 		w.Header().Set("Zinniamast-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case b.Misdirected || request.Header.Get("Zinniamast-Expect-Instance") != r.ID:
+		w.Header().Set("Zinniamast-Request-Id", run.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
