Bound the bodies that an instance keeps in memory (FAULT)

Cause: each body is kept until its request has ended, and nothing bounded their sum. Class: memory that callers fill and no part accounts for. Change: bodies reserve their length before they are read, within 0.7 of the memory beyond 64 MB; above it a request is refused at once, not run, before its organisation is charged.

Bodies that are relayed for peers are not counted.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -220,6 +220,25 @@
 	return rank
 }
 
+const (
+	// ownMemory is the part of an instance's memory that the process takes without requests, and
+	// bodyMemoryFraction the fraction of the rest that the bodies of requests may take. What remains
+	// is for garbage and for bytes that are received and not read yet.
+	ownMemory          = 64 << 20
+	bodyMemoryFraction = 0.7
+)
+
+// maxBodies returns how many bytes of bodies an instance may keep; zero if its memory is not limited.
+func maxBodies(memory int64) int64 {
+	if memory <= 0 {
+		return 0
+	}
+	return max(minBodies, int64(bodyMemoryFraction*float64(memory-ownMemory)))
+}
+
+// minBodies lets the smallest instances take a request with the largest body that is usual.
+const minBodies = 16 << 20
+
 // buildServers builds the servers for callers and for readiness checks.
 func (e *Entry) buildServers() {
 	s := e.config.Settings
@@ -255,6 +274,7 @@
 		Queue:         e.queue,
 		Meter:         e.usage,
 		Demand:        e.demand,
+		MaxBodies:     maxBodies(s.MemoryBytes),
 		Closing:       e.closing.Load,
 		Stopping:      e.stopping.Load,
 		Logger:        e.config.Logger,
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -37,6 +37,7 @@
 	upstreams *blackboard.Upstreams
 	replicas  []*replica.Replica
 	// started counts the calls of CountStarted.
+	config  forward.Config
 	started atomic.Int64
 	closing atomic.Bool
 	// refusalWait is the wait that Take returns, in nanoseconds; zero grants all requests.
@@ -214,7 +215,7 @@
 		})
 	}
 	logger := slog.New(slog.NewTextHandler(&f.log, nil))
-	handler := forward.New(forward.Config{
+	f.config = forward.Config{
 		Routes:        f.routes,
 		Upstreams:     f.upstreams,
 		FailureDomain: "here",
@@ -249,9 +250,9 @@
 		Closing:  f.closing.Load,
 		Stopping: f.closing.Load,
 		Logger:   logger,
-	})
-	f.handler = handler
-	f.server = httptest.NewServer(handler)
+	}
+	f.handler = forward.New(f.config)
+	f.server = httptest.NewServer(f.handler)
 	t.Cleanup(f.server.Close)
 	return f
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/zeebo/xxh3"
 
 	"zinniamast"
@@ -131,6 +131,8 @@
 	Demand Demand
 	// Closing reports whether the node is stopping and refuses new requests.
 	Closing func() bool
+	// MaxBodies bounds the bodies of all requests in memory, in bytes; zero means that nothing does.
+	MaxBodies int64
 	// Stopping reports whether the node is about to stop. Each connection is then
 	// closed after its next answer.
 	Stopping func() bool
@@ -143,6 +145,7 @@
 type Handler struct {
 	config  Config
 	metrics *metrics
+	bodies  bodyBudget
 }
 
 // New returns a handler.
@@ -166,10 +169,18 @@
 	if config.Queue == nil {
 		config.Queue = queue.New(queue.Config{})
 	}
-	return &Handler{
+	h := &Handler{
 		config:  config,
 		metrics: newMetrics(config.Registerer),
-	}
+		bodies: bodyBudget{
+			limit: config.MaxBodies,
+		},
+	}
+	promauto.With(config.Registerer).NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "zinniamast_forward_body_bytes",
+		Help: "Memory that the bodies of requests in progress take.",
+	}, func() float64 { return float64(h.bodies.used.Load()) })
+	return h
 }
 
 // defaultTimeout applies if neither the caller nor the route sets a timeout.
@@ -195,6 +206,7 @@
 	}
 	defer h.reportPanic(r)
 	c, refusal := h.admit(r, arrived)
+	defer c.memory.release()
 	if refusal == nil && h.config.Closing() {
 		refusal = zinniamast.Refuse(zinniamast.ReasonStopping, "this node stops").WithRetryAfter(stoppingRetryAfter)
 	}
@@ -255,7 +267,9 @@
 	configVersion int64
 	priority      int
 	body          []byte
-	fingerprint   uint64
+	// memory is what the body takes of the memory for bodies.
+	memory      reservation
+	fingerprint uint64
 	// parts are the IDs of the parts of the prompt that other prompts may share.
 	parts []uint64
 	// isSuspect reports whether the request or a part of its prompt is suspected of crashing
@@ -308,7 +322,10 @@
 // request, or refuses it.
 func (h *Handler) admit(r *http.Request, arrived time.Time) (*call, *zinniamast.Refusal) {
 	c := &call{
-		request:  r,
+		request: r,
+		memory: reservation{
+			budget: &h.bodies,
+		},
 		metadata: h.config.Protocol.ReadRequest(r.Header),
 		arrived:  arrived,
 		ran:      zinniamast.NotRun,
@@ -435,7 +452,10 @@
 	if err := http.NewResponseController(w).SetReadDeadline(c.deadline); err != nil {
 		h.config.Logger.Debug("failed to change the read deadline", "cause", err)
 	}
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	body, err := c.memory.readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	if errors.Is(err, errBodiesFull) {
+		return zinniamast.Refuse(zinniamast.ReasonMemoryFull, "too many bodies are in memory").WithRetryAfter(fullRetryAfter)
+	}
 	if err != nil {
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
@@ -454,17 +474,6 @@
 // defaultMaxBodyBytes applies if the configuration sets no limit.
 const defaultMaxBodyBytes = 4 << 20
 
-// readAll reads a body. If its length is known, it allocates one buffer of that
-// size.
-func readAll(body io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(body)
-	}
-	buffer := make([]byte, length)
-	_, err := io.ReadFull(body, buffer)
-	return buffer, err
-}
-
 // fingerprint returns a hash of a request's content. Repeated attempts of the same
 // request have the same fingerprint.
 func fingerprint(c *call) uint64 {
