--- a/registry/follower.go
+++ b/registry/follower.go
@@ -245,7 +245,7 @@
 		isNew := f.applyConfig(change.Config)
 		f.applyOrders(change)
 		f.ordersPosition.Store(feed.position)
-		f.peerFeed.advanceConfig(feed.position, isNew)
+		f.peerFeed.advanceConfig(feed.position, isNew, time.Now().Add(-change.Age))
 	}
 }
 
@@ -284,9 +284,9 @@
 			feed.position, feed.hasPosition = max(feed.position, changes.Position), true
 			f.applyReplicas(changes, whole, feed.afterOutage)
 			f.ready.Store(true)
-			now := time.Now()
-			f.heardAt.Store(&now)
-			f.peerFeed.advanceReplicas(feed.position, whole)
+			answeredAt := time.Now().Add(-changes.Age)
+			f.heardAt.Store(&answeredAt)
+			f.peerFeed.advanceReplicas(feed.position, whole, answeredAt)
 		}
 		f.applySeed()
 		f.expire(time.Now())
--- a/registry/peer_feed.go
+++ b/registry/peer_feed.go
@@ -108,10 +108,10 @@
 	removedEntryRewrites  = 16
 )
 
-func (p *peerFeed) advanceReplicas(position uint64, whole bool) {
+func (p *peerFeed) advanceReplicas(position uint64, whole bool, answeredAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.replicas.answeredAt = time.Now()
+	p.replicas.recordAnswer(answeredAt)
 	p.replicas.position = max(p.replicas.position, position)
 	newest := p.newest
 	for id := range p.versions.After(newest) {
@@ -146,25 +146,27 @@
 
 // advanceConfig records an answer of the configuration's feed, and whether it brought
 // another one.
-func (p *peerFeed) advanceConfig(position uint64, isNew bool) {
+func (p *peerFeed) advanceConfig(position uint64, isNew bool, answeredAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if isNew {
 		p.configPosition = position
 	}
-	p.advance(&p.config, position)
-}
-
-// advance records an answer of a feed; the caller holds the lock.
-func (p *peerFeed) advance(progress *feedProgress, position uint64) {
-	progress.answeredAt = time.Now()
-	if position <= progress.position {
+	p.config.recordAnswer(answeredAt)
+	if position <= p.config.position {
 		return
 	}
-	progress.position = position
+	p.config.position = position
 	p.wake()
 }
 
+// recordAnswer records when the store gave an answer. A peer may pass on an older one than the last.
+func (f *feedProgress) recordAnswer(at time.Time) {
+	if at.After(f.answeredAt) {
+		f.answeredAt = at
+	}
+}
+
 // wake wakes all waiting calls of peers; the caller holds the lock.
 func (p *peerFeed) wake() {
 	close(p.changed)
@@ -221,6 +223,7 @@
 	}
 	answer := ReplicaChanges{
 		Position: max(position, p.replicas.position),
+		Age:      time.Since(p.replicas.answeredAt),
 	}
 	for id := range p.versions.After(position) {
 		answer.Changes = append(answer.Changes, p.entries[id])
@@ -239,6 +242,7 @@
 	}
 	change := ConfigChange{
 		Position: max(position, p.config.position),
+		Age:      time.Since(p.config.answeredAt),
 	}
 	if position < p.configPosition {
 		change.Config = f.config.Routes.Current()
--- a/registry/peer_feed_test.go
+++ b/registry/peer_feed_test.go
@@ -278,6 +278,71 @@
 	})
 }
 
+// cutStore is the store behind a path on which its feed has fallen silent.
+type cutStore struct {
+	*beatingStore
+}
+
+// FollowReplicas implements registry.Source.
+func (cutStore) FollowReplicas(ctx context.Context, _ uint64, _ time.Duration) (registry.ReplicaChanges, error) {
+	return registry.ReplicaChanges{}, hang(ctx)
+}
+
+// distantPeer is a peer whose answers travel for a millisecond.
+type distantPeer struct {
+	registry.Peer
+}
+
+// ReplicasAfter implements registry.Peer.
+func (p distantPeer) ReplicasAfter(ctx context.Context, position uint64, wait time.Duration) (registry.ReplicaChanges, error) {
+	time.Sleep(time.Millisecond)
+	return p.Peer.ReplicasAfter(ctx, position, wait)
+}
+
+// ConfigAfter implements registry.Peer.
+func (p distantPeer) ConfigAfter(ctx context.Context, position uint64, wait time.Duration) (registry.ConfigChange, error) {
+	time.Sleep(time.Millisecond)
+	return p.Peer.ConfigAfter(ctx, position, wait)
+}
+
+// Guards against news of a reader that has lost the store that count as the store's at the next reader, which has lost it too.
+func TestNewsOfAPeerKeepTheirAge(t *testing.T) {
+	runReader(t, 30, func(check *is.I, s *beatingStore, first *registry.Follower) {
+		second := registry.NewFollower(registry.FollowerConfig{
+			Source: registry.NewRelayed(registry.RelayedConfig{
+				Store:   cutStore{s},
+				Readers: func() []registry.Peer { return []registry.Peer{distantPeer{first}} },
+			}),
+			Routes:    &routes.Table{},
+			Upstreams: blackboard.NewUpstreams(),
+			Build:     func(string, string) zinniamast.Replica { return plain.New(plain.Config{}) },
+			Logger:    slog.New(slog.DiscardHandler),
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { second.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		position := s.version
+		s.silent = true
+		s.mu.Unlock()
+		began := time.Now()
+		for {
+			answer, err := second.ReplicasAfter(context.Background(), position, 700*time.Millisecond)
+			if err != nil {
+				check.True(errors.Is(err, registry.ErrStale))
+				break
+			}
+			position = answer.Position
+			time.Sleep(time.Millisecond) // the time that the answer travels
+		}
+		check.True(time.Since(began) <= 1600*time.Millisecond)
+		check.True(!second.HasHeard(time.Second))
+	})
+}
+
 // BenchmarkReplicasAfter measures an answer to a peer after a heartbeat of all replicas.
 func BenchmarkReplicasAfter(b *testing.B) {
 	for _, nodes := range []int{30, 300} {
--- a/registry/source.go
+++ b/registry/source.go
@@ -35,6 +35,8 @@
 	Changes []ReplicaChange
 	// Position is where a feed continues.
 	Position uint64
+	// Age is the time since the store's answer that a peer passes on; zero from the store itself.
+	Age time.Duration
 }
 
 // ReplicaChange is the state of one entry after a change.
@@ -81,4 +83,6 @@
 	Unreadable []string
 	// Position is where a feed continues.
 	Position uint64
+	// Age is the time since the store's answer that a peer passes on; zero from the store itself.
+	Age time.Duration
 }
