--- a/entry/origin.go
+++ b/entry/origin.go
@@ -33,6 +33,7 @@
 		Put:       e.putOrigins,
 		Find:      e.findOrigin,
 		IsFresh:   func() bool { return e.follower.HasHeard(maxReplicaAge) },
+		HeardAt:   e.follower.HeardAt,
 		Table:     e.table,
 		Instance:  e.config.Settings.Instance,
 		Nodes:     func() int { return len(e.roster.Instances()) },
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -26,6 +26,10 @@
 	// findTimeout bounds asking the holders, and putTimeout telling them.
 	findTimeout = 250 * time.Millisecond
 	putTimeout  = time.Second
+	// newsTimeout bounds the wait for the next news of replicas, which come every second, and
+	// newsInterval is the time between two looks for them.
+	newsTimeout  = 1500 * time.Millisecond
+	newsInterval = 25 * time.Millisecond
 	// flushInterval is how long origins are collected before they are sent to their holders.
 	flushInterval = 20 * time.Millisecond
 	// observeInterval is the interval at which the versions of all replicas are recorded, and
@@ -48,6 +52,8 @@
 	Find func(ctx context.Context, address string, query Query) (Answer, error)
 	// IsFresh reports whether Upstreams has heard of the newest replicas; nil means always.
 	IsFresh func() bool
+	// HeardAt is the time up to which Upstreams has heard of all replicas; nil means always now.
+	HeardAt func() time.Time
 	// Table keeps the origins of this instance's streams in the item of Instance; nil means that
 	// they are lost with the process.
 	Table    zinniamast.Table
@@ -127,6 +133,9 @@
 	if config.IsFresh == nil {
 		config.IsFresh = func() bool { return true }
 	}
+	if config.HeardAt == nil {
+		config.HeardAt = time.Now
+	}
 	if config.Nodes == nil {
 		config.Nodes = func() int { return 1 }
 	}
@@ -217,27 +226,31 @@
 // this instance nor the holders of the origin know it.
 //
 // An instance that was cut off or stood still for a moment does not know that it has missed a new
-// version. So the only version that it knows counts if a holder confirms it and none contradicts.
+// version. So the only version that it knows counts if a holder confirms it and none contradicts. If no holder answers,
+// it counts if no other one is in the next news of replicas.
 func (d *Directory) Find(ctx context.Context, service, stream string) (version string, ok bool) {
 	query := Query{
 		Service: service,
 		Stream:  stream,
 	}
+	began := time.Now()
 	own := d.Answer(query)
 	holders := d.config.Holders(stream, maxAskedHolders)
 	if own.IsRecorded || len(holders) == 0 {
 		return own.Version, own.IsKnown
 	}
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	asking, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	answers := make(chan Answer, len(holders))
+	answers := make(chan *Answer, len(holders))
 	for _, holder := range holders {
 		go func() {
-			answer, err := d.config.Find(ctx, holder.Address, query)
+			answer, err := d.config.Find(asking, holder.Address, query)
 			if err != nil {
 				d.config.Logger.Debug("holder of a stream's origin failed", "peer", holder.ID, "cause", err)
+				answers <- nil
+				return
 			}
-			answers <- answer
+			answers <- &answer
 		}()
 	}
 	tally := tally{
@@ -245,16 +258,40 @@
 		sole:    own,
 		isSplit: own.HasSeveral,
 	}
+	isAlone := true
 	for range holders {
 		answer := <-answers
+		if answer == nil {
+			continue
+		}
 		if answer.IsRecorded {
 			return answer.Version, true
 		}
-		tally.add(answer)
+		isAlone = false
+		tally.add(*answer)
+	}
+	if isAlone && d.awaitNews(ctx, began) {
+		own = d.Answer(query)
+		return own.Version, own.IsKnown
 	}
 	return tally.version()
 }
 
+// awaitNews waits until this instance has heard of all replicas up to a time, for newsTimeout at most,
+// and reports whether it has.
+func (d *Directory) awaitNews(ctx context.Context, upTo time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
+	defer cancel()
+	for d.config.HeardAt().Before(upTo) {
+		select {
+		case <-time.After(newsInterval):
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
 // tally combines the answers of instances that have no record of a stream.
 type tally struct {
 	// own is the answer of this instance.
@@ -266,7 +303,7 @@
 	isProven bool
 }
 
-// add adds the answer of a holder. One that has failed or knows nothing yet does not count.
+// add adds the answer of a holder. One that knows nothing yet does not count.
 func (t *tally) add(answer Answer) {
 	t.isSplit = t.isSplit || answer.HasSeveral
 	if !answer.IsKnown {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -40,6 +40,8 @@
 	// isGone means that no call reaches the node or leaves it, and isStale that it hears of no
 	// new replicas.
 	isGone, isStale atomic.Bool
+	// hearsNothing means that no news of replicas come.
+	hearsNothing atomic.Bool
 }
 
 var errGone = errors.New("instance is gone")
@@ -124,7 +126,13 @@
 			}
 			return f.at(address).Answer(query), nil
 		},
-		IsFresh:  func() bool { return !n.isStale.Load() },
+		IsFresh: func() bool { return !n.isStale.Load() },
+		HeardAt: func() time.Time {
+			if n.hearsNothing.Load() {
+				return time.Time{}
+			}
+			return time.Now()
+		},
 		Table:    f.table,
 		Instance: n.id,
 		Logger:   slog.New(slog.DiscardHandler),
@@ -337,10 +345,30 @@
 		for _, n := range f.nodes {
 			n.isGone.Store(n != behind)
 		}
+		behind.hearsNothing.Store(true)
 		f.check.Equal(f.find(behind, "r-3"), "")
 	})
 }
 
+// Guards against streams that end at an instance that alone is left, although the store tells it of all replicas.
+func TestStreamsGoOnAtTheLastInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, "v1")
+		for _, n := range f.nodes[1:] {
+			n.isGone.Store(true)
+		}
+		last := f.nodes[0]
+		f.check.Equal(f.find(last, "r-1"), "v1")
+		last.hearsNothing.Store(true)
+		go func() {
+			time.Sleep(time.Second)
+			f.addReplica("i-new", "v2")
+			last.hearsNothing.Store(false)
+		}()
+		f.check.Equal(f.find(last, "r-1"), "") // the news tell of another version
+	})
+}
+
 // Guards against streams that end at an instance while a holder of their origins is gone, or has just started and knows no version.
 func TestStreamsGoOnWhileHoldersAreGoneOrStarting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -104,12 +104,17 @@
 // KnowsReplicas reports whether the replicas are known, from the store or a peer.
 func (f *Follower) KnowsReplicas() bool { return f.ready.Load() }
 
-// HasHeard reports whether the source has answered for the replicas within the given time.
-func (f *Follower) HasHeard(within time.Duration) bool {
-	at := f.heardAt.Load()
-	return at != nil && time.Since(*at) <= within
+// HeardAt returns when the source last answered for the replicas; zero if it has not.
+func (f *Follower) HeardAt() time.Time {
+	if at := f.heardAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
+// HasHeard reports whether the source has answered for the replicas within the given time.
+func (f *Follower) HasHeard(within time.Duration) bool { return time.Since(f.HeardAt()) <= within }
+
 // Seed passes a peer's replicas to a follower that has not reached the store yet.
 //
 // A node that starts while the store is down would otherwise refuse every request
