Start the processes of a test's fleet after all of them exist

A fault of the test: all directories are made first now, and the old processes have ended before. The check is unchanged.

--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -75,17 +75,21 @@
 		}
 		n.roster.Set(entries)
 		f.nodes = append(f.nodes, n)
-		f.start(t, n, f.newVersions(true))
 	}
+	f.start(t, true)
 	return f
 }
 
-// start starts a process of a node, after the one before it has been stopped.
-func (f *fleet) start(t *testing.T, n *node, versions *origin.Versions) {
-	n.Directory = f.newDirectory(n, versions)
-	ctx, stop := context.WithCancel(t.Context())
-	n.stop = stop
-	go n.Run(ctx)
+// start starts a process of each node, after those before have been stopped.
+func (f *fleet) start(t *testing.T, isFirstStart bool) {
+	for _, n := range f.nodes {
+		n.Directory = f.newDirectory(n, f.newVersions(isFirstStart))
+	}
+	for _, n := range f.nodes {
+		ctx, stop := context.WithCancel(t.Context())
+		n.stop = stop
+		go n.Run(ctx)
+	}
 }
 
 func (f *fleet) newVersions(isFirstStart bool) *origin.Versions {
@@ -411,9 +415,8 @@
 			for _, n := range f.nodes {
 				n.stop()
 			}
-			for _, n := range f.nodes {
-				f.start(t, n, f.newVersions(false))
-			}
+			synctest.Wait() // calls between the processes have ended
+			f.start(t, false)
 			time.Sleep(time.Second)
 			f.nodes[0].Began("svc", fmt.Sprint("r-new-", round), "v2")
 			for i := range f.nodes {
