Discard second copies of answers to earlier requests on a connection (REFUSED)

The caller may not repeat such a request, although each of them had run nowhere or once.

Cause: the copy arrives where the answer to the next request on the connection is due. It names another request, so the instance rightly does not believe it, but it then gave the present request up as crossed, with an unknown outcome, and closed the connection on which its own answer followed.

Change: a connection holds back the head of an answer until it is known to name the request that it carries. An answer that names an earlier request of the same connection, and whose end is marked, is discarded, and the next one is read. The connection is not used again then. Anything else is passed on as it came, so an answer to a request that was never sent there still counts as crossed. The usual answer costs one search for the ID in the bytes of the first read.

Related paths: sends through a peer use the same client. An answer without an ID (a load report) or without a marked end is not discarded.

--- a/plain/client.go
+++ b/plain/client.go
@@ -124,7 +124,7 @@
 		guard.deadline = deadline
 	}
 	if c.config.RequestID != nil {
-		guard.request = c.config.RequestID(request.Header)
+		guard.request, guard.requestID = c.config.RequestID(request.Header), c.config.RequestID
 	}
 	trace := &httptrace.ClientTrace{
 		GotConn: guard.gotConn,
@@ -142,6 +142,13 @@
 	return response, nil
 }
 
+// EndsWithConnection reports whether only the end of its connection marks the end of an answer's
+// body. It may then be incomplete, as the kernel closes the connections of a killed process in order.
+func EndsWithConnection(response *http.Response) bool {
+	isHead := response.Request != nil && response.Request.Method == http.MethodHead
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !isHead
+}
+
 // cancelBody cancels the context of the attempt when the body is closed.
 type cancelBody struct {
 	io.ReadCloser
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"slices"
 	"sync"
@@ -38,10 +39,19 @@
 	net.Conn
 	state    atomic.Int32
 	deadline atomic.Int64
-	// requests counts the requests that were given the connection, and carried holds the hashes
-	// of their IDs.
+	// requests counts the requests that were given the connection.
 	requests int
-	carried  []uint64
+	// awaited is the present request until its answer begins to arrive; nil before and after that,
+	// and if it has no ID.
+	awaited atomic.Pointer[awaited]
+	// held holds bytes that were read ahead; only Read uses it.
+	held []byte
+
+	mu sync.Mutex
+	// carried holds the hashes of the IDs of the requests, and isSpoiled reports whether an answer
+	// has arrived twice.
+	carried   []uint64
+	isSpoiled bool
 }
 
 // maxCarried bounds the requests that a connection remembers. One that has carried as many is not
@@ -56,13 +66,29 @@
 		return true
 	}
 	hash := xxh3.HashString(id)
-	if len(c.carried) == maxCarried || slices.Contains(c.carried, hash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isSpoiled || len(c.carried) == maxCarried || slices.Contains(c.carried, hash) {
 		return false
 	}
 	c.carried = append(c.carried, hash)
 	return true
 }
 
+// hasCarried reports whether the connection has carried a request whose ID has this hash.
+func (c *conn) hasCarried(hash uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.carried, hash)
+}
+
+// spoil keeps the connection from being used again.
+func (c *conn) spoil() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isSpoiled = true
+}
+
 // prepare resets the connection for a request that may be sent until the deadline.
 func (c *conn) prepare(deadline time.Time) {
 	c.deadline.Store(deadline.UnixNano())
@@ -131,10 +157,12 @@
 // connection is allowed only if the first one is sealed, with no byte written;
 // otherwise the second connection is sealed and the request is cancelled.
 type sendGuard struct {
-	ctx      context.Context
-	request  string
-	deadline time.Time
-	cancel   context.CancelFunc
+	ctx context.Context
+	// request is the ID of the request, which requestID finds in the headers of its answer.
+	request   string
+	requestID func(http.Header) string
+	deadline  time.Time
+	cancel    context.CancelFunc
 
 	mu       sync.Mutex
 	current  *conn
@@ -166,6 +194,7 @@
 		next.seal() // net/http goes on to another connection, as nothing was written
 		return
 	}
+	next.await(g.request, g.requestID)
 	g.reused, g.idle = info.Reused, info.IdleTime
 	zinniamast.RecordConnection(g.ctx, zinniamast.Connection{
 		Requests: next.requests,
