Leave a reader in time that falls silent after old news (DRAIN)

What callers would see: a request reaches a replica later than two seconds after its leaving was acknowledged. A reader that loses the store goes on answering for 1.3 s. If it then falls silent as well (a freeze, a cut, a dead connection), the instance waited another 1.1 s for it before it called the store: 2.4 s after the news.

Change: the wait for peers ends when the newest news is 1.4 s old, but lasts 0.3 s at least, so that the store is called 1.7 s after the news at the latest. The wait that is asked of the peer is shorter by as much, so a peer that works still answers first.

Evidence: TestReaderSilentAfterOldNewsIsLeftInTime fails before (2.4 s with news 1.3 s old) and passes. Not seen in a run with real processes.

--- a/registry/relayed.go
+++ b/registry/relayed.go
@@ -12,6 +12,12 @@
 	// call the store within the time in which a leaving replica has to be known.
 	relayWait    = 700 * time.Millisecond
 	relayTimeout = 1100 * time.Millisecond
+	// maxNewsAge is the age of the news at which this node stops waiting for a peer that has passed
+	// on old news and then falls silent, but it waits for minRelayTimeout at least. relayMargin is
+	// the part of a call's time that the peer does not wait for a change.
+	maxNewsAge      = staleAfter + 100*time.Millisecond
+	minRelayTimeout = 300 * time.Millisecond
+	relayMargin     = 200 * time.Millisecond
 	// readerBackoff is how long a peer is not called after it has failed.
 	readerBackoff = 3 * time.Second
 	// maxReaders bounds the peers that are called before the store.
@@ -54,6 +60,26 @@
 	backoffUntil map[Peer]time.Time
 	// storeAnsweredAt is the end of the last call to the store.
 	storeAnsweredAt time.Time
+	// newsAt is when the store gave its newest answer that has reached this node.
+	newsAt time.Time
+}
+
+// relayTimeout returns how long to wait for the peers.
+func (l *loopState) relayTimeout() time.Duration {
+	if l.newsAt.IsZero() {
+		return relayTimeout
+	}
+	return min(relayTimeout, max(minRelayTimeout, time.Until(l.newsAt.Add(maxNewsAge))))
+}
+
+// relayWait returns how long a peer that is called now may wait for a change.
+func (l *loopState) relayWait() time.Duration { return min(relayWait, l.relayTimeout()-relayMargin) }
+
+// recordNews records the age of the news of an answer.
+func (l *loopState) recordNews(age time.Duration) {
+	if at := time.Now().Add(-age); at.After(l.newsAt) {
+		l.newsAt = at
+	}
 }
 
 var _ Source = (*Relayed)(nil)
@@ -78,7 +104,7 @@
 // If a reader that has lost the store were followed by the store itself, all nodes of
 // its failure domain would call the store for as long as the reader cannot.
 func (r *Relayed) callReaders(ctx context.Context, l *loopState, call func(context.Context, Peer) error) bool {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.relayTimeout())
 	defer cancel()
 	readers := r.config.Readers()
 	for _, reader := range readers[:min(len(readers), maxReaders)] {
@@ -105,6 +131,9 @@
 // answer this node, its readers are asked again at once: they may be the only source left.
 func (l *loopState) recordStoreAnswer(err error) {
 	l.storeAnsweredAt = time.Now()
+	if err == nil {
+		l.recordNews(0)
+	}
 	if err != nil && !errors.Is(err, ErrHistoryDropped) {
 		clear(l.backoffUntil)
 	}
@@ -144,9 +173,10 @@
 func (r *Relayed) FollowReplicas(ctx context.Context, position uint64, wait time.Duration) (ReplicaChanges, error) {
 	var changes ReplicaChanges
 	if r.callReaders(ctx, &r.replicas, func(ctx context.Context, reader Peer) (err error) {
-		changes, err = reader.ReplicasAfter(ctx, position, min(wait, relayWait))
+		changes, err = reader.ReplicasAfter(ctx, position, min(wait, r.replicas.relayWait()))
 		return err
 	}) {
+		r.replicas.recordNews(changes.Age)
 		return changes, nil
 	}
 	return r.storeReplicas(ctx, position, wait)
@@ -163,9 +193,10 @@
 func (r *Relayed) FollowConfig(ctx context.Context, position uint64, wait time.Duration) (ConfigChange, error) {
 	var change ConfigChange
 	if r.callReaders(ctx, &r.configs, func(ctx context.Context, reader Peer) (err error) {
-		change, err = reader.ConfigAfter(ctx, position, min(wait, relayWait))
+		change, err = reader.ConfigAfter(ctx, position, min(wait, r.configs.relayWait()))
 		return err
 	}) {
+		r.configs.recordNews(change.Age)
 		return change, nil
 	}
 	return r.storeConfig(ctx, position, wait)
--- a/registry/relayed_test.go
+++ b/registry/relayed_test.go
@@ -181,3 +181,36 @@
 		check.NoErr(err)
 	})
 }
+
+// agingPeer passes on news that were as old as its last call allowed, and then falls silent.
+type agingPeer struct {
+	*fakeSource
+	age time.Duration
+}
+
+func (p *agingPeer) ReplicasAfter(ctx context.Context, position uint64, wait time.Duration) (registry.ReplicaChanges, error) {
+	changes, err := p.FollowReplicas(ctx, position, wait)
+	changes.Age = p.age
+	p.hangs = true
+	return changes, err
+}
+
+// Guards against waiting for a reader that has passed on old news, as it had lost the store, and then falls silent.
+func TestReaderSilentAfterOldNewsIsLeftInTime(t *testing.T) {
+	const mustBeKnown = 2 * time.Second
+	for _, age := range []time.Duration{0, 500 * time.Millisecond, time.Second, 1300 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			check := is.New(t)
+			source := newRelayed(&fakeSource{}, &agingPeer{
+				fakeSource: &fakeSource{},
+				age:        age,
+			})
+			_, err := source.FollowReplicas(t.Context(), 1, time.Second)
+			check.NoErr(err)
+			news := time.Now().Add(-age)
+			_, err = source.FollowReplicas(t.Context(), 2, time.Second) // of the store
+			check.NoErr(err)
+			check.True(time.Since(news) < mustBeKnown-200*time.Millisecond)
+		})
+	}
+}
