--- a/egress/receiver.go
+++ b/egress/receiver.go
@@ -170,6 +170,9 @@
 	}
 	header.Set(headerOutcome, outcomeAnswered)
 	header.Set(headerRequests, strconv.Itoa(connection.Requests))
+	if plain.EndsWithConnection(response) {
+		header.Set(headerUnframed, "1")
+	}
 	header.Set("Trailer", trailerEnd)
 	w.WriteHeader(response.StatusCode)
 	header.Set(trailerEnd, endOf(copyFlushing(w, response.Body)))
--- a/egress/relay.go
+++ b/egress/relay.go
@@ -34,6 +34,8 @@
 	headerOutcome = "Relay-Outcome"
 	// headerRequests is the number of earlier requests on the peer's connection to the replica.
 	headerRequests = "Relay-Requests"
+	// headerUnframed says that the replica's answer ends with its connection.
+	headerUnframed = "Relay-Unframed"
 	trailerEnd     = "Relay-End"
 )
 
@@ -133,6 +135,10 @@
 		recordConnection(ctx, response.Header)
 		response.Header.Del(headerOutcome)
 		response.Header.Del(headerRequests)
+		if response.Header.Get(headerUnframed) != "" {
+			response.TransferEncoding = nil // as the replica's own answer
+			response.Header.Del(headerUnframed)
+		}
 		if hasBody(request.Method, response.StatusCode) {
 			response.Body = &relayedBody{
 				response: response,
--- a/egress/unframed_test.go
+++ b/egress/unframed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"testing"
 
+	"zinniamast/plain"
 	"zinniamast/standin/replica"
 )
 
@@ -26,3 +27,21 @@
 		})
 	}
 }
+
+// Guards against a relayed answer that ends with its connection and seems to have a marked end.
+func TestRelayKeepsFraming(t *testing.T) {
+	for _, isUnframed := range []bool{false, true} {
+		t.Run(fmt.Sprint("unframed ", isUnframed), func(t *testing.T) {
+			f := newFixture(t)
+			f.replica.SetBehaviour(replica.Behaviour{
+				Events:   3,
+				Unframed: isUnframed,
+			})
+			response, err := f.send(t.Context())
+			f.is.NoErr(err)
+			defer response.Body.Close()
+			f.is.Equal(plain.EndsWithConnection(response), isUnframed)
+			f.is.Equal(response.Header.Get("Relay-Unframed"), "")
+		})
+	}
+}
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -285,6 +285,7 @@
 	e.callerServer = &http.Server{
 		Handler:           handler,
 		BaseContext:       func(net.Listener) context.Context { return serving },
+		ConnContext:       forward.ConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,6 +11,7 @@
 
 	"zinniamast"
 	"zinniamast/blackboard"
+	"zinniamast/plain"
 	"zinniamast/silence"
 )
 
@@ -33,12 +36,21 @@
 	// flush flushes the writer. It is created once per answer so that forwarding an
 	// event does not allocate.
 	flush func() error
+	// isFramed reports whether the replica that began the answer marks its end. unframed is the
+	// caller's connection if the answer ends with it; nil if the caller's answer marks its end.
+	isFramed bool
+	unframed resettable
 
-	// status is the status sent to the caller; header and body belong to a buffered
-	// plain answer.
+	// status is the status sent to the caller.
 	status int
-	header http.Header
-	body   []byte
+}
+
+// bufferedAnswer is a replica's answer that is not a stream, or the start of a large one.
+type bufferedAnswer struct {
+	response *http.Response
+	status   int
+	header   http.Header
+	body     []byte
 }
 
 // forwardAnswer waits for the replica's answer and forwards it to the caller.
@@ -84,30 +96,32 @@
 	}
 	a.status = s.plain.status
 	if s.plain.isWhole() {
-		s.plain.writeTo(a.writer)
+		a.writePlain(t.ctx, s.plain)
 		return nil
 	}
-	return h.forwardLarge(a, s)
+	return h.forwardLarge(t)
 }
 
-// isWhole reports whether a plain answer is buffered with all of its body.
-func (a *answer) isWhole() bool { return len(a.body) < maxBufferedBytes }
+// isWhole reports whether the answer is buffered with all of its body.
+func (b *bufferedAnswer) isWhole() bool { return len(b.body) < maxBufferedBytes }
 
-// writeTo writes a buffered answer.
-func (a *answer) writeTo(w http.ResponseWriter) {
-	copyHeader(w.Header(), a.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body)
+// writePlain writes a buffered answer to the caller.
+func (a *answer) writePlain(ctx context.Context, from *bufferedAnswer) {
+	copyHeader(a.writer.Header(), from.header)
+	a.startFraming(ctx, from.response)
+	a.setLength(int64(len(from.body)))
+	a.writer.WriteHeader(from.status)
+	_, _ = a.writer.Write(from.body)
+	a.finish()
 }
 
 // forwardLarge writes the buffered start of a large answer and copies the rest as
 // it arrives.
-func (h *Handler) forwardLarge(a *answer, s *send) *zinniamast.UpstreamError {
+func (h *Handler) forwardLarge(t *takeover) *zinniamast.UpstreamError {
+	a, s := t.answer, t.current
 	copyHeader(a.writer.Header(), s.plain.header)
-	if s.response.ContentLength >= 0 {
-		a.writer.Header().Set("Content-Length", strconv.FormatInt(s.response.ContentLength, 10))
-	}
+	a.startFraming(t.ctx, s.response)
+	a.setLength(s.response.ContentLength)
 	a.begun = true
 	a.writer.WriteHeader(s.plain.status)
 	if _, err := a.writer.Write(s.plain.body); err != nil {
@@ -116,6 +130,7 @@
 	if _, err := io.Copy(a.writer, s.response.Body); err != nil {
 		return upstreamError(s.upstream, readFailure(err), err)
 	}
+	a.finish()
 	return nil
 }
 
@@ -153,24 +168,34 @@
 		if !a.begun {
 			h.recordOrigin(c, s.upstream)
 		}
-		if err := a.writeEvents(events, s.response); err != nil {
+		if err := a.writeEvents(t.ctx, events, s.response); err != nil {
 			return upstreamError(s.upstream, zinniamast.FailureStopped, err)
 		}
 		h.observeVersionPause(c, s, a.events-eventsBefore)
 		t.watch.Received()
 	}
-	if a.begun && s.stream.isWhole() {
-		return nil
+	switch {
+	case !a.begun || !s.stream.isWhole():
+		return s.streamFailure()
+	case a.isFramed && plain.EndsWithConnection(s.response) && a.events > eventsBefore:
+		return upstreamError(s.upstream, zinniamast.FailureStopped, errUnconfirmedEnd)
 	}
-	return s.streamFailure()
+	a.finish()
+	return nil
 }
 
+// errUnconfirmedEnd is the cause of the failure of a send that resumed a stream, if the replica may
+// have stopped between two events. The caller's answer says at its end that it is complete, as it began
+// at a replica that marks the end. A further send confirms it if it brings no event.
+var errUnconfirmedEnd = errors.New("forward: the stream ended with the replica's connection")
+
 // writeEvents writes whole events to the caller, preceded by the header if nothing
 // was written yet, and records the ID of the last event.
-func (a *answer) writeEvents(data []byte, response *http.Response) error {
+func (a *answer) writeEvents(ctx context.Context, data []byte, response *http.Response) error {
 	if !a.begun {
 		dropHopByHop(response.Header)
 		copyHeader(a.writer.Header(), response.Header)
+		a.startFraming(ctx, response)
 		a.writer.WriteHeader(response.StatusCode)
 		a.status = response.StatusCode
 		a.flush = http.NewResponseController(a.writer).Flush
--- a/forward/fixture_test.go
+++ b/forward/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -44,6 +45,8 @@
 	refusalWait atomic.Int64
 	// retriesSpent makes the budget refuse every retry.
 	retriesSpent atomic.Bool
+	// callerConn is the newest connection of a caller.
+	callerConn atomic.Pointer[net.Conn]
 	// onRoute is called before each routing choice; nil is allowed.
 	onRoute func()
 	// log collects the handler's log lines.
@@ -252,7 +255,12 @@
 		Logger:   logger,
 	}
 	f.handler = forward.New(f.config)
-	f.server = httptest.NewServer(f.handler)
+	f.server = httptest.NewUnstartedServer(f.handler)
+	f.server.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		f.callerConn.Store(&conn)
+		return forward.ConnContext(ctx, conn)
+	}
+	f.server.Start()
 	t.Cleanup(f.server.Close)
 	return f
 }
@@ -293,6 +301,8 @@
 	broken bool
 	// closes reports whether the node announced that it closes the connection.
 	closes bool
+	// isUnframed reports whether only the end of the connection marks the end of the answer.
+	isUnframed bool
 }
 
 // do sends a request on a new connection.
@@ -316,5 +326,7 @@
 		body:   string(body),
 		broken: err != nil,
 		closes: response.Close,
+
+		isUnframed: plain.EndsWithConnection(response),
 	}
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -313,7 +313,7 @@
 	timeToFirst   time.Duration
 	// failedAnswer is a server error from a replica. The caller gets it if no other
 	// replica answers.
-	failedAnswer *answer
+	failedAnswer *bufferedAnswer
 }
 
 // admit determines the route, organisation, service, priority and deadline of a
--- a/forward/send.go
+++ b/forward/send.go
@@ -63,7 +63,7 @@
 	// plain is an answer that is not a stream, or the start of a large one.
 	stream      *eventReader
 	firstEvents []byte
-	plain       *answer
+	plain       *bufferedAnswer
 	// run tells the quarantine of prompt parts how far the answer is.
 	run zinniamast.PartRun
 	// ready is closed after a send in the background has failed or begun to answer, and
@@ -402,10 +402,11 @@
 		return upstreamError(s.upstream, readFailure(err), err)
 	}
 	h.recordBegan(c, s)
-	s.plain = &answer{
-		status: s.response.StatusCode,
-		header: s.response.Header,
-		body:   body,
+	s.plain = &bufferedAnswer{
+		response: s.response,
+		status:   s.response.StatusCode,
+		header:   s.response.Header,
+		body:     body,
 	}
 	dropHopByHop(s.plain.header)
 	if c.route.Kind == routes.Safe || s.ready != nil {
--- a/overload/listener.go
+++ b/overload/listener.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"errors"
 	"net"
 	"sync"
 )
@@ -64,3 +65,12 @@
 	c.once.Do(c.ticket.Read)
 	return c.Conn.Close()
 }
+
+// SetLinger sets how the connection is closed, as that of a *net.TCPConn does.
+func (c *conn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return tcp.SetLinger(seconds)
+}
