--- a/claims/object.go
+++ b/claims/object.go
@@ -45,12 +45,16 @@
 type objectHead struct {
 	Status int                 `json:"status"`
 	Header map[string][]string `json:"header"`
+
+	EndsWithConnection bool `json:"ends_with_connection,omitempty"`
 }
 
 func encodeObject(answer *zinniamast.ServiceAnswer) ([]byte, error) {
 	head, err := json.Marshal(objectHead{
 		Status: answer.Status,
 		Header: answer.Header,
+
+		EndsWithConnection: answer.EndsWithConnection,
 	})
 	if err != nil {
 		return nil, err
@@ -79,6 +83,8 @@
 		Status: head.Status,
 		Header: head.Header,
 		Body:   body,
+
+		EndsWithConnection: head.EndsWithConnection,
 	}, nil
 }
 
--- a/plain/client.go
+++ b/plain/client.go
@@ -224,6 +224,8 @@
 		Status: response.StatusCode,
 		Header: response.Header,
 		Body:   body,
+
+		EndsWithConnection: EndsWithConnection(response),
 	}
 	if response.StatusCode >= http.StatusInternalServerError {
 		return whole, c.upstreamError(zinniamast.FailureError, fmt.Errorf("plain: status %d", response.StatusCode))
--- a/service.go
+++ b/service.go
@@ -37,4 +37,7 @@
 	Header http.Header `json:"header"`
 	// Body is the complete body.
 	Body []byte `json:"body"`
+	// EndsWithConnection means that only the end of its connection marked the end of the body, which
+	// may be incomplete then.
+	EndsWithConnection bool `json:"ends_with_connection,omitempty"`
 }
--- a/services/result.go
+++ b/services/result.go
@@ -21,7 +21,12 @@
 	for name, values := range forwardedHeaders(r.answer.Header) {
 		header[name] = values
 	}
-	header.Set("Content-Length", strconv.Itoa(len(r.answer.Body)))
+	if r.answer.EndsWithConnection {
+		// The caller's answer ends with its connection, too: a length would say that it is complete.
+		header.Set("Transfer-Encoding", "identity")
+	} else {
+		header.Set("Content-Length", strconv.Itoa(len(r.answer.Body)))
+	}
 	if r.replayed {
 		header.Set(HeaderReplayed, "true")
 	}
--- a/services/services_test.go
+++ b/services/services_test.go
@@ -1,12 +1,14 @@
 package services_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -422,3 +424,54 @@
 	is.Equal(seen.Get("Zinniamast-Fence"), "")
 	is.Equal(seen.Get("Idempotency-Key"), "north:k") // scoped by organisation
 }
+
+// Guards against an answer that ends with its connection, and may be incomplete, being sent or replayed with a length.
+func TestAnswerWithoutMarkedEndGetsNoLength(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if q, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, q.Body)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nbook")
+			}
+			conn.Close()
+		}
+	}()
+	s, _ := newTestFleet(t, config.Service{}, service.Config{})
+	board := blackboard.New()
+	board.Configuration.Apply(&blackboard.Version{
+		Number: 1,
+		Config: newFleetConfig(config.Service{}),
+	})
+	board.Upstreams.Add(&blackboard.Upstream{
+		Instance: zinniamast.Instance{
+			ID:      "booking-0",
+			Service: "booking",
+		},
+		Service: plain.New(plain.Config{
+			Upstream: "booking-0",
+			Address:  "http://" + listener.Addr().String(),
+		}),
+	})
+	_, _, node := newNode(0, board, s.platform.Table, nil, realTimeout)
+	server := httptest.NewServer(node)
+	defer server.Close()
+	for range 2 {
+		q, err := http.NewRequest(http.MethodPost, server.URL+"/services/booking/reservations", strings.NewReader(`{"cage":"B-12"}`))
+		is.NoErr(err)
+		q.Header.Set("Authorization", "Bearer "+apiKey)
+		q.Header.Set("Idempotency-Key", "k")
+		got, err := http.DefaultClient.Do(q)
+		is.NoErr(err)
+		defer got.Body.Close()
+		is.Equal(got.StatusCode, http.StatusOK)
+		is.True(plain.EndsWithConnection(got))
+	}
+}
