Count parts of an allowance as no more than the whole (QUOTA)

Callers of an organisation could get more than its allowance while instances join: each lends its part to the pool by its own roster, which may be 5 s old, so six instances that know of six and six that know of twelve lend 1.5 times the whole.

Change: a pool counts parts up to the whole allowance.

Not mended: an instance that joins may choose another pool than those that don't know it yet, and the parts in both then add up to more than the whole, for up to 5 s.

Evidence: TestPartsOfDifferentRostersAreNoMoreThanTheWhole fails before and passes.

--- a/limits/pool.go
+++ b/limits/pool.go
@@ -111,7 +111,7 @@
 	p.refill(b, o, now)
 	b.renew(ask, now)
 	p.credit(b, o, ask)
-	part := b.counted
+	part := b.countedPart()
 	if ask.Amount <= b.reserve {
 		b.reserve -= ask.Amount
 		return PoolAnswer{
@@ -128,6 +128,10 @@
 	}
 }
 
+// countedPart returns the part of the allowance that counts here. Nodes whose rosters are of different
+// ages lend parts that add up to more than the whole.
+func (b *bucket) countedPart() float64 { return min(b.counted, 1) }
+
 // answerWithoutParts answers while no part counts here yet. The wait is the time
 // until the first part counts plus the time to fill the amount.
 func (p *Pool) answerWithoutParts(b *bucket, o *routes.Organisation, ask PoolRequest, now time.Time) PoolAnswer {
@@ -206,7 +210,7 @@
 // refill adds the tokens accrued since the last call and deletes expired loans.
 func (p *Pool) refill(b *bucket, o *routes.Organisation, now time.Time) {
 	if now.Before(b.nextChange) {
-		b.tokens += o.Rate * b.counted * max(0, now.Sub(b.filledAt).Seconds())
+		b.tokens += o.Rate * b.countedPart() * max(0, now.Sub(b.filledAt).Seconds())
 	} else {
 		b.refillByLoan(o, now)
 	}
@@ -217,22 +221,24 @@
 	maxReserve := domainPoolTolerance * p.config.Tolerance.excess(o) * reserved
 	b.reserve = min(maxReserve, b.reserve+maxReserve*now.Sub(b.filledAt).Seconds()/p.config.Tolerance.Window.Seconds())
 	b.filledAt = now
-	b.tokens = min(b.tokens, p.burst(o)*b.counted)
+	b.tokens = min(b.tokens, p.burst(o)*b.countedPart())
 }
 
 // refillByLoan adds the tokens of each loan since the last call and sums the loans that remain.
 func (b *bucket) refillByLoan(o *routes.Organisation, now time.Time) {
 	b.counted, b.pending, b.countedLoans = 0, 0, 0
 	b.nextChange = now.Add(poolLease)
+	accrued := 0.0
 	for node, l := range b.loans {
 		from, until := later(b.filledAt, l.from), earlier(now, l.until)
-		b.tokens += o.Rate * l.part * max(0, until.Sub(from).Seconds())
+		accrued += l.part * max(0, until.Sub(from).Seconds())
 		if now.After(l.until) {
 			delete(b.loans, node)
 			continue
 		}
 		b.sum(l, now, 1)
 	}
+	b.tokens += o.Rate * min(accrued, now.Sub(b.filledAt).Seconds())
 }
 
 // burst returns the capacity of a bucket to which the whole allowance is lent.
