Count a part that moves between pools in one of them (QUOTA)

Cause: a node whose pool does not answer within 120 ms lends its part to another node's pool, where it counted at once. The first holder may only be late, and then counts the part for two more seconds and grants from it.

Change: a part that moves counts in the new pool once the old loan has expired, unless the old pool was at least half full in its last answer, at most 2 s ago. Renewals bring that level as well, as most nodes ask seldom for most organisations. While an allowance is used up, a node stays with the pool that has its part. A pool grants half of the tolerated excess as a burst (0.6 before): a part may still count twice if demand rises just as a well-filled pool turns late.

Evidence: TestAllowanceHoldsWhileItsPoolAnswersLate fails before (13,340 granted in one window, 10,900 tolerated). TestUsedUpAllowanceIsGrantedAfterItsPoolWasLate fails if nodes go back at once, TestAllowanceHoldsWhenDemandRisesAsItsPoolTurnsLate with a burst of 0.6 (11,020). TestAllowanceHoldsThroughPartitions has late answers too now; it passes before and after.

--- a/entry/allowance.go
+++ b/entry/allowance.go
@@ -82,8 +82,10 @@
 }
 
 // renewLoans renews the loans of this node's parts to another node's pools.
-func (e *Entry) renewLoans(ctx context.Context, address string, renewal limits.PoolRenewal) error {
-	return e.peerPool.Call(ctx, address, allowanceName+".Renew", renewal, &struct{}{})
+func (e *Entry) renewLoans(ctx context.Context, address string, renewal limits.PoolRenewal) (limits.PoolRenewalAnswer, error) {
+	var answer limits.PoolRenewalAnswer
+	err := e.peerPool.Call(ctx, address, allowanceName+".Renew", renewal, &answer)
+	return answer, err
 }
 
 // PoolReceiver serves the requests of other nodes to this node's pools.
@@ -106,7 +108,7 @@
 }
 
 // Renew renews the calling node's loans to this node's pools.
-func (p *PoolReceiver) Renew(renewal limits.PoolRenewal, _ *struct{}) error {
-	p.poolOf(renewal.Apart).RenewAll(renewal)
+func (p *PoolReceiver) Renew(renewal limits.PoolRenewal, answer *limits.PoolRenewalAnswer) error {
+	*answer = p.poolOf(renewal.Apart).RenewAll(renewal)
 	return nil
 }
--- a/limits/allowance.go
+++ b/limits/allowance.go
@@ -45,7 +45,7 @@
 	// Take sends a request for tokens to another node's pool.
 	Take func(ctx context.Context, address string, ask PoolRequest) (PoolAnswer, error)
 	// Renew renews this node's loans to another node's pools.
-	Renew func(ctx context.Context, address string, renewal PoolRenewal) error
+	Renew func(ctx context.Context, address string, renewal PoolRenewal) (PoolRenewalAnswer, error)
 	// NotSent reports whether an error of Take or Renew proves that the call did not
 	// arrive; nil means that no error does.
 	NotSent func(err error) bool
@@ -82,6 +82,8 @@
 	suspected map[string]time.Time
 	// isolated holds the organisations whose fleet pool is unreachable.
 	isolated map[string]bool
+	// levels holds what pools have last answered of how full allowances are, by organisation.
+	levels map[string]poolLevel
 	// ownPartUntil holds, by organisation, until when this node uses its own part
 	// and does not call the domain pool.
 	ownPartUntil map[string]time.Time
@@ -100,6 +102,7 @@
 		outgoing:     map[string]outgoingLoan{},
 		suspected:    map[string]time.Time{},
 		isolated:     map[string]bool{},
+		levels:       map[string]poolLevel{},
 		ownPartUntil: map[string]time.Time{},
 	}
 }
@@ -144,7 +147,9 @@
 		}
 		if holder.ID == a.config.Node {
 			ask.Starts = a.lend(ask.Organisation, holder.ID, false)
-			return a.config.FleetPool.Take(ask), true
+			answer := a.config.FleetPool.Take(ask)
+			a.recordLevel(ask.Organisation, answer.Level)
+			return answer, true
 		}
 		if answer, err := a.askPool(ctx, holder, ask); err == nil {
 			return answer, true
@@ -193,6 +198,39 @@
 	if err != nil {
 		a.suspect(holder, err)
 		a.undoLend(ask.Organisation, holder.ID, ask.Apart, err)
+		return answer, err
+	}
+	a.recordLevel(ask.Organisation, answer.Level)
+	return answer, nil
+}
+
+// poolLevel is how full a pool was, from 0 to 1.
+type poolLevel struct {
+	level float64
+	at    time.Time
+}
+
+const (
+	// highLevel is the least level of the pool of an organisation that asks for less than its
+	// allowance, and levelTTL how long it is known from an answer.
+	highLevel = 0.5
+	levelTTL  = 2 * time.Second
+)
+
+// isHigh reports whether the organisation has asked for less than its allowance lately.
+func (p poolLevel) isHigh(now time.Time) bool { return p.isKnown(now) && p.level >= highLevel }
+
+// isLow reports whether the organisation has lately asked for as much as its allowance or more.
+func (p poolLevel) isLow(now time.Time) bool { return p.isKnown(now) && p.level < highLevel }
+
+func (p poolLevel) isKnown(now time.Time) bool { return !p.at.IsZero() && now.Sub(p.at) <= levelTTL }
+
+// recordLevel records how full a pool was when it answered.
+func (a *Allowance) recordLevel(organisation string, level float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.levels[organisation] = poolLevel{
+		level: level,
+		at:    a.config.Now(),
 	}
-	return answer, err
 }
--- a/limits/holders.go
+++ b/limits/holders.go
@@ -63,11 +63,32 @@
 }
 
 // fleetHolder returns the node that holds an organisation's fleet pool: the one
-// with the highest hash among the nodes that are not suspected.
+// with the highest hash among the nodes that are not suspected, or the one that has this
+// node's part while the organisation asks for all of its allowance: a part that moves then
+// counts nowhere until the old loan has expired.
 func (a *Allowance) fleetHolder(organisation string, holders []Holder) (Holder, bool) {
+	if present := a.presentHolder(organisation); present != "" {
+		if i := slices.IndexFunc(holders, func(h Holder) bool { return h.ID == present }); i >= 0 {
+			return holders[i], true
+		}
+	}
 	return a.highestHash(organisation, holders, func(Holder) bool { return true })
 }
 
+// presentHolder returns the ID of the fleet pool's node that has this node's part of a used-up
+// allowance; empty if there is none.
+func (a *Allowance) presentHolder(organisation string) string {
+	now := a.config.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.outgoing[organisation]
+	_, isSuspected := a.suspected[l.holder]
+	if l.domainPool || isSuspected || !l.until.After(now) || !a.levels[organisation].isLow(now) {
+		return ""
+	}
+	return l.holder
+}
+
 // domainHolder returns the node that holds an organisation's domain pool. It is
 // this node if all nodes of the domain are suspected or this node uses its own part.
 func (a *Allowance) domainHolder(organisation string, holders []Holder) Holder {
--- /dev/null
+++ b/limits/late_test.go
@@ -0,0 +1,120 @@
+package limits_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// play lets all nodes request amounts at the given times the rate, in turn, for as long.
+func (f *fleet) play(length time.Duration, times float64) (granted, requested float64) {
+	const step, amount = 10 * time.Millisecond, 20.0
+	due := 0.0
+	for i := range int(length / step) {
+		f.now = f.now.Add(step)
+		if i%70 == 0 {
+			f.renew()
+		}
+		for due += times * f.organisation.Rate * step.Seconds(); due >= amount; due -= amount {
+			node := f.names[int(requested/amount)%len(f.names)]
+			requested += amount
+			if f.take(node, amount) {
+				granted += amount
+			}
+		}
+	}
+	return granted, requested
+}
+
+// Guards against granting more than is tolerated while the node of a pool answers some nodes too late, which then lend their parts elsewhere while it still counts them.
+func TestAllowanceHoldsWhileItsPoolAnswersLate(t *testing.T) {
+	for _, times := range []float64{1.5, 3, 8} {
+		for _, every := range []int{1, 2, 3} {
+			t.Run(fmt.Sprintf("%v times the rate, one node of %d", times, every), func(t *testing.T) {
+				f := newFleet(12)
+				began := f.now
+				f.isLate = func(from, to string) bool {
+					spell := int(f.now.Sub(began) / (500 * time.Millisecond))
+					return spell%6 >= 4 && f.index(from)%every == 0 && f.index(to) < 6+spell%6
+				}
+				f.play(30*time.Second, times)
+				if got := f.maxWindowGrants(); got > f.tolerated() {
+					t.Errorf("%.0f granted in one window, %.0f tolerated", got, f.tolerated())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a used-up allowance whose parts count nowhere, as they move back to a late pool before they count in the new one.
+func TestUsedUpAllowanceIsGrantedAfterItsPoolWasLate(t *testing.T) {
+	const silence = 2500 * time.Millisecond // until the loans to the late pool have expired
+	is := is.New(t)
+	for _, late := range newFleet(12).names {
+		f := newFleet(12)
+		f.play(10*time.Second, 3)
+		f.isLate = func(_, to string) bool { return to == late }
+		f.play(400*time.Millisecond, 3)
+		f.isLate = nil
+		const length = 8 * time.Second
+		granted, _ := f.play(length, 3)
+		is.True(granted >= 0.9*f.organisation.Rate*(length-silence).Seconds())
+	}
+}
+
+// index returns the number of a node.
+func (f *fleet) index(name string) int {
+	for i, n := range f.names {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Guards against refusing an organisation within its allowance when the node of its pool stops answering.
+func TestAllowanceIsServedAfterItsPoolFallsSilent(t *testing.T) {
+	is := is.New(t)
+	for i, silent := range newFleet(60).names {
+		f := newFleet(60)
+		if i < 12 {
+			f = newFleet(12)
+		}
+		f.play(10*time.Second, 0.55)
+		f.partitioned[silent] = true
+		var others []string
+		for _, name := range f.names {
+			if name != silent {
+				others = append(others, name)
+			}
+		}
+		f.names = others
+		granted, requested := f.play(4*time.Second, 0.55)
+		is.True(granted >= 0.95*requested)
+	}
+}
+
+// Guards against granting more than is tolerated when an organisation within its allowance asks for far more just as its pool answers some nodes too late.
+func TestAllowanceHoldsWhenDemandRisesAsItsPoolTurnsLate(t *testing.T) {
+	const risesAfter, lateFor = 600 * time.Millisecond, time.Second
+	for _, lateAfter := range []time.Duration{100 * time.Millisecond, 600 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond} {
+		for _, every := range []int{2, 3} {
+			for late := range newFleet(12).names {
+				f := newFleet(12)
+				f.play(10*time.Second, 0.55)
+				began := f.now
+				f.isLate = func(from, to string) bool {
+					at := f.now.Sub(began) - lateAfter
+					return at >= 0 && at < lateFor && f.index(from)%every == 0 && f.index(to) == late
+				}
+				f.play(risesAfter, 0.55)
+				f.play(12*time.Second, 8)
+				if got := f.maxWindowGrants(); got > f.tolerated() {
+					t.Errorf("late after %v for one node of %d: %.0f granted in one window, %.0f tolerated", lateAfter, every, got, f.tolerated())
+				}
+			}
+		}
+	}
+}
--- a/limits/pool.go
+++ b/limits/pool.go
@@ -75,15 +75,18 @@
 }
 
 // RenewAll renews a node's loans of its part of several allowances.
-func (p *Pool) RenewAll(renewal PoolRenewal) {
+func (p *Pool) RenewAll(renewal PoolRenewal) PoolRenewalAnswer {
+	var answer PoolRenewalAnswer
 	for _, loan := range renewal.Loans {
-		p.Take(PoolRequest{
+		renewed := p.Take(PoolRequest{
 			Node:         renewal.Node,
 			Part:         renewal.Part,
 			Starts:       loan.Starts,
 			Organisation: loan.Organisation,
 		})
+		answer.Levels = append(answer.Levels, renewed.Level)
 	}
+	return answer
 }
 
 // Take renews a node's loan of its part and takes an amount; an amount of zero
@@ -116,6 +119,7 @@
 		b.reserve -= ask.Amount
 		return PoolAnswer{
 			Granted: true,
+			Level:   p.level(b, o),
 		}
 	}
 	if part == 0 {
@@ -125,9 +129,15 @@
 	return PoolAnswer{
 		Granted: granted,
 		Wait:    wait,
+		Level:   p.level(b, o),
 	}
 }
 
+// level returns how full the part of the allowance is that counts here, from 0 to 1.
+func (p *Pool) level(b *bucket, o *routes.Organisation) float64 {
+	return max(0, b.tokens) / max(1, p.burst(o)*b.countedPart())
+}
+
 // countedPart returns the part of the allowance that counts here. Nodes whose rosters are of different
 // ages lend parts that add up to more than the whole.
 func (b *bucket) countedPart() float64 { return min(b.counted, 1) }
@@ -274,7 +284,7 @@
 // These are the fractions of the tolerated excess for fleet pools, domain pools and
 // pools that have just started; the rest covers loans that are delayed in transit.
 const (
-	fleetPoolTolerance  = 0.6
+	fleetPoolTolerance  = 0.5
 	domainPoolTolerance = 0.2
 	newPoolTolerance    = 0.1
 )
--- a/limits/pool_request.go
+++ b/limits/pool_request.go
@@ -58,9 +58,17 @@
 	Starts       time.Duration
 }
 
+// PoolRenewalAnswer is a node's answer to a PoolRenewal. Nodes of earlier versions answer nothing.
+type PoolRenewalAnswer struct {
+	// Levels holds how full the parts in each pool are, from 0 to 1, in the order of the loans.
+	Levels []float64
+}
+
 // PoolAnswer is a pool's answer to a PoolRequest.
 type PoolAnswer struct {
 	Granted bool
 	// Wait is the time until the amount is expected to be available.
 	Wait time.Duration
+	// Level is how full the parts in the pool are after the call, from 0 to 1.
+	Level float64
 }
--- a/limits/pool_test.go
+++ b/limits/pool_test.go
@@ -34,6 +34,9 @@
 	partitioned map[string]bool
 	// down holds nodes that are not running; calls to them certainly do not arrive.
 	down map[string]bool
+	// isLate reports whether a call from one node to another runs, but its answer comes too late;
+	// nil means that none does.
+	isLate func(from, to string) bool
 	// granted holds all grants in order of time.
 	granted []grant
 }
@@ -46,6 +49,7 @@
 var (
 	errPartitioned = errors.New("partitioned")
 	errDown        = errors.New("connection refused")
+	errLate        = errors.New("timed out")
 )
 
 func newFleet(nodes int) *fleet {
@@ -98,6 +102,14 @@
 	return nil
 }
 
+// lateError returns the error of a call that has run, or nil if its answer comes in time.
+func (f *fleet) lateError(from, to string) error {
+	if f.isLate != nil && f.isLate(from, to) {
+		return errLate
+	}
+	return nil
+}
+
 // start starts a node, or restarts it without state.
 func (f *fleet) start(name string) {
 	clock := func() time.Time { return f.now }
@@ -117,14 +129,13 @@
 			if err := f.callError(name, address); err != nil {
 				return limits.PoolAnswer{}, err
 			}
-			return f.pool(address, ask.Apart).Take(ask), nil
+			return f.pool(address, ask.Apart).Take(ask), f.lateError(name, address)
 		},
-		Renew: func(_ context.Context, address string, renewal limits.PoolRenewal) error {
+		Renew: func(_ context.Context, address string, renewal limits.PoolRenewal) (limits.PoolRenewalAnswer, error) {
 			if err := f.callError(name, address); err != nil {
-				return err
+				return limits.PoolRenewalAnswer{}, err
 			}
-			f.pool(address, renewal.Apart).RenewAll(renewal)
-			return nil
+			return f.pool(address, renewal.Apart).RenewAll(renewal), f.lateError(name, address)
 		},
 		NotSent:       func(err error) bool { return errors.Is(err, errDown) },
 		Organisations: func() []routes.Organisation { return []routes.Organisation{f.organisation} },
@@ -199,7 +210,7 @@
 
 // Guards against granting more than is tolerated because a part is both lent and
 // used: an organisation requests far more than its allowance while nodes and failure
-// domains are partitioned and reconnected and nodes restart, in any order.
+// domains are partitioned and reconnected, nodes restart and answers come too late, in any order.
 func TestAllowanceHoldsThroughPartitions(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newFleet(rapid.IntRange(1, 9).Draw(t, "nodes"))
@@ -211,13 +222,20 @@
 			f.now = f.now.Add(100 * time.Millisecond)
 			f.renew()
 		}
+		// late holds nodes that answer the named one and those before it too late.
+		late := map[string]string{}
+		f.isLate = func(from, to string) bool { return from <= late[to] }
 		for step := range rapid.IntRange(20, 120).Draw(t, "steps") {
 			f.now = f.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond)
 			if step%4 == 0 {
 				f.renew()
 			}
 			node := rapid.SampledFrom(f.names).Draw(t, "node")
-			switch rapid.IntRange(0, 16).Draw(t, "event") {
+			switch rapid.IntRange(0, 18).Draw(t, "event") {
+			case 17:
+				late[node] = rapid.SampledFrom(f.names).Draw(t, "late for")
+			case 18:
+				delete(late, node)
 			case 15:
 				f.down[node] = true
 			case 16:
--- a/limits/renew.go
+++ b/limits/renew.go
@@ -109,7 +109,7 @@
 		})
 	}
 	if key.holder.ID == a.config.Node {
-		a.pool(key.domainPool).RenewAll(renewal)
+		a.recordLevels(renewal, a.pool(key.domainPool).RenewAll(renewal))
 		return true
 	}
 	return a.callRenew(ctx, key.holder, renewal)
@@ -119,16 +119,25 @@
 func (a *Allowance) callRenew(ctx context.Context, holder Holder, renewal PoolRenewal) bool {
 	callCtx, cancel := context.WithTimeout(ctx, poolTimeout)
 	defer cancel()
-	if err := a.config.Renew(callCtx, holder.Address, renewal); err != nil {
+	answer, err := a.config.Renew(callCtx, holder.Address, renewal)
+	if err != nil {
 		a.suspect(holder, err)
 		for _, loan := range renewal.Loans {
 			a.undoLend(loan.Organisation, holder.ID, renewal.Apart, err)
 		}
 		return false
 	}
+	a.recordLevels(renewal, answer)
 	return true
 }
 
+// recordLevels records how full the pools were whose loans were renewed.
+func (a *Allowance) recordLevels(renewal PoolRenewal, answer PoolRenewalAnswer) {
+	for i, level := range answer.Levels[:min(len(answer.Levels), len(renewal.Loans))] {
+		a.recordLevel(renewal.Loans[i].Organisation, level)
+	}
+}
+
 // probe calls suspected nodes that are due, until maxFailedProbes of them have not
 // answered.
 //
@@ -192,10 +201,13 @@
 
 // lend records that this node's part is lent. It runs before the call is sent,
 // since it is not known whether the call arrives. It returns the delay after which
-// the part counts in the new pool. A part that moves to or from a domain pool, or
-// to a pool of this node, counts there only once the old loan has expired, so that
-// it never counts twice. A part that moves from one fleet pool to another node's
-// counts there at once, since the node of the old pool has most likely died.
+// the part counts in the new pool. A part that moves counts there only once the old loan
+// has expired, so that it never counts twice: the node of the old pool may only be late, and
+// grant from it to other nodes.
+//
+// If the old pool was well filled lately, the organisation asks for less than its allowance.
+// A part that moves to another node's fleet pool then counts at once, since requests within the
+// allowance would otherwise be refused whenever the node of a pool dies.
 func (a *Allowance) lend(organisation, holder string, domainPool bool) time.Duration {
 	now := a.config.Now()
 	a.mu.Lock()
@@ -203,7 +215,8 @@
 	l := a.outgoing[organisation]
 	if l.holder != holder || l.domainPool != domainPool {
 		from := now
-		if (l.domainPool || domainPool || holder == a.config.Node) && l.until.After(now) {
+		mayCountTwice := !l.domainPool && !domainPool && holder != a.config.Node && a.levels[organisation].isHigh(now)
+		if l.until.After(now) && !mayCountTwice {
 			from = l.until
 		}
 		old := l
--- a/limits/start_test.go
+++ b/limits/start_test.go
@@ -126,10 +126,12 @@
 			})
 			return answer, err
 		},
-		Renew: func(ctx context.Context, address string, renewal limits.PoolRenewal) error {
-			return f.call(ctx, n, address, func(server *startingNode) {
-				server.pool(renewal.Apart).RenewAll(renewal)
+		Renew: func(ctx context.Context, address string, renewal limits.PoolRenewal) (limits.PoolRenewalAnswer, error) {
+			var answer limits.PoolRenewalAnswer
+			err := f.call(ctx, n, address, func(server *startingNode) {
+				answer = server.pool(renewal.Apart).RenewAll(renewal)
 			})
+			return answer, err
 		},
 		NotSent:       func(err error) bool { return errors.Is(err, errRefused) },
 		Organisations: func() []routes.Organisation { return f.organisations },
