--- a/plain/copies.go
+++ b/plain/copies.go
@@ -56,7 +56,9 @@
 		c.discardCopies(request)
 	}
 	n := copy(p, c.held)
-	c.held = c.held[n:]
+	if c.held = c.held[n:]; len(c.held) == 0 {
+		c.held = nil // a pooled connection must not keep the buffer
+	}
 	return n, nil
 }
 
