--- a/entry/allowance.go
+++ b/entry/allowance.go
@@ -58,10 +58,9 @@
 	return nil
 }
 
-// holders returns all instances on the roster, which is this one alone before the
-// roster is read.
+// holders returns the instances that know each other; none before the roster is read.
 func (e *Entry) holders() []limits.Holder {
-	instances := e.roster.Instances()
+	instances := e.roster.Established()
 	holders := make([]limits.Holder, 0, len(instances))
 	for _, instance := range instances {
 		holders = append(holders, limits.Holder{
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -90,6 +90,7 @@
 		IsFirstStart:  s.IsFirstStart,
 		Offset:        e.clock.LocalOffset,
 		OnOffsets:     e.clock.SetOffset,
+		JoinDelay:     rosterInterval + time.Second,
 		Logger:        e.config.Logger,
 	})
 }
--- a/limits/allowance.go
+++ b/limits/allowance.go
@@ -40,7 +40,8 @@
 	// Node is this instance's name, and FailureDomain is the one in which it runs.
 	Node          string
 	FailureDomain string
-	// Holders returns all nodes, including this one.
+	// Holders returns the nodes that divide the allowances, of which this one is none until the
+	// others know it.
 	Holders func() []Holder
 	// Take sends a request for tokens to another node's pool.
 	Take func(ctx context.Context, address string, ask PoolRequest) (PoolAnswer, error)
@@ -122,7 +123,7 @@
 	holders := a.config.Holders()
 	ask := PoolRequest{
 		Node:         a.config.Node,
-		Part:         partOf(holders),
+		Part:         a.part(holders),
 		Organisation: o.Name,
 		Amount:       amount,
 		Keep:         keepFor(amount, rank),
--- a/limits/holders.go
+++ b/limits/holders.go
@@ -54,10 +54,14 @@
 // that starts during a store outage must not use the whole allowance as its part.
 const assumedNodes = 64
 
-// partOf returns each node's part of an allowance, as a fraction.
-func partOf(holders []Holder) float64 {
-	if len(holders) == 0 {
+// part returns this node's part of an allowance, as a fraction. A node that is not among the holders
+// has none, as the others divide the whole among themselves.
+func (a *Allowance) part(holders []Holder) float64 {
+	switch {
+	case len(holders) == 0:
 		return 1.0 / assumedNodes
+	case !slices.ContainsFunc(holders, func(h Holder) bool { return h.ID == a.config.Node }):
+		return 0
 	}
 	return 1 / float64(len(holders))
 }
--- a/limits/pool_test.go
+++ b/limits/pool_test.go
@@ -27,6 +27,8 @@
 	domainPools  map[string]*limits.Pool
 	// rosterUnread makes the roster empty, as before a node has read it.
 	rosterUnread bool
+	// rosterOf returns the names that a node knows; nil means that each knows all.
+	rosterOf func(node string) []string
 	// domains holds the nodes' failure domains; the default is the empty name.
 	domains map[string]string
 	// partitioned holds nodes that reach no other node, and failure domains that reach
@@ -124,7 +126,7 @@
 	f.allowances[name] = limits.NewAllowance(limits.AllowanceConfig{
 		Node:          name,
 		FailureDomain: f.domains[name],
-		Holders:       f.holders,
+		Holders:       func() []limits.Holder { return f.holders(name) },
 		Take: func(_ context.Context, address string, ask limits.PoolRequest) (limits.PoolAnswer, error) {
 			if err := f.callError(name, address); err != nil {
 				return limits.PoolAnswer{}, err
@@ -153,12 +155,17 @@
 	return f.pools[node]
 }
 
-func (f *fleet) holders() []limits.Holder {
+// holders returns the nodes that a node knows.
+func (f *fleet) holders(node string) []limits.Holder {
 	if f.rosterUnread {
 		return nil
 	}
+	names := f.names
+	if f.rosterOf != nil {
+		names = f.rosterOf(node)
+	}
 	var holders []limits.Holder
-	for _, name := range f.names {
+	for _, name := range names {
 		holders = append(holders, limits.Holder{
 			ID:            name,
 			FailureDomain: f.domains[name],
--- a/limits/renew.go
+++ b/limits/renew.go
@@ -85,7 +85,7 @@
 		}
 	}
 	for key, names := range batches {
-		if a.renewBatch(ctx, key, names, partOf(holders)) || key.domainPool || a.reachesOutside(ctx, holders) {
+		if a.renewBatch(ctx, key, names, a.part(holders)) || key.domainPool || a.reachesOutside(ctx, holders) {
 			continue
 		}
 		// Nodes without requests must lend their parts to the domain pool as well.
--- a/limits/roster_parts_test.go
+++ b/limits/roster_parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,3 +37,37 @@
 	}
 	is.True(granted <= f.organisation.Rate*10*1.01)
 }
+
+// Guards against granting more than is tolerated while nodes join: they know of each other, and the others learn of them seconds later.
+func TestAllowanceHoldsWhileNodesJoin(t *testing.T) {
+	const joinDelay, rosterInterval = 6 * time.Second, 5 * time.Second
+	for _, nodes := range []int{4, 6, 9} {
+		t.Run(fmt.Sprint(nodes, " and as many"), func(t *testing.T) {
+			f := newFleet(nodes)
+			f.play(10*time.Second, 0.3)
+			before := slices.Clone(f.names)
+			for i := range nodes {
+				f.names = append(f.names, fmt.Sprint("node-", nodes+i))
+			}
+			for _, name := range f.names[nodes:] {
+				f.start(name)
+			}
+			joined := f.now
+			f.rosterOf = func(node string) []string {
+				elapsed := f.now.Sub(joined)
+				knowsAll := elapsed >= joinDelay
+				if i := slices.Index(before, node); i >= 0 {
+					knowsAll = elapsed >= rosterInterval*time.Duration(i+1)/time.Duration(nodes)
+				}
+				if knowsAll {
+					return f.names
+				}
+				return before
+			}
+			f.play(16*time.Second, 6)
+			if got := f.maxWindowGrants(); got > f.tolerated() {
+				t.Errorf("%.0f granted in one window, %.0f tolerated", got, f.tolerated())
+			}
+		})
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -47,6 +47,8 @@
 	// OnOffsets, if set, is called with the offsets of all instances for each new
 	// roster.
 	OnOffsets func(offsets []time.Duration)
+	// JoinDelay is the time from this instance's first read of the roster until the others know it.
+	JoinDelay time.Duration
 	// Logger logs failures and retired instances; nil means slog's default.
 	Logger *slog.Logger
 	// Now returns the time; nil means time.Now.
@@ -69,6 +71,10 @@
 	arrival     Arrival
 	isRead      bool
 	predecessor uint64
+	// earlier are the instances of the first read, and joinsUntil when the others know this one, if
+	// it has joined them.
+	earlier    []zinniamast.Instance
+	joinsUntil time.Time
 
 	// silentSince holds the time since which each silent instance of this failure
 	// domain has been silent; only Retire uses it.
@@ -250,6 +256,8 @@
 		r.arrival = ArrivalFirst
 	default:
 		r.arrival = ArrivalJoined
+		r.earlier = instancesOf(entries)
+		r.joinsUntil = r.config.Now().Add(r.config.JoinDelay)
 	}
 	r.config.Logger.Info("roster read for the first time", "instance", r.config.ID, "arrival", r.arrival, "instances", len(entries), "cause", err)
 }
@@ -294,15 +302,9 @@
 
 // Set stores a roster that was read by this or another node.
 func (r *Roster) Set(entries []Entry) {
-	instances := make([]zinniamast.Instance, 0, len(entries))
+	instances := instancesOf(entries)
 	offsets := make([]time.Duration, 0, len(entries))
 	for _, entry := range entries {
-		instances = append(instances, zinniamast.Instance{
-			ID:            entry.ID,
-			FailureDomain: entry.FailureDomain,
-			Role:          "entry",
-			Address:       entry.Address,
-		})
 		offsets = append(offsets, entry.Offset)
 	}
 	r.mu.Lock()
@@ -315,6 +317,30 @@
 	}
 }
 
+func instancesOf(entries []Entry) []zinniamast.Instance {
+	instances := make([]zinniamast.Instance, 0, len(entries))
+	for _, entry := range entries {
+		instances = append(instances, zinniamast.Instance{
+			ID:            entry.ID,
+			FailureDomain: entry.FailureDomain,
+			Role:          "entry",
+			Address:       entry.Address,
+		})
+	}
+	return instances
+}
+
+// Established returns the instances that know each other: those of the latest roster, or, while this
+// one has just joined them, those that were there before it.
+func (r *Roster) Established() []zinniamast.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.config.Now().Before(r.joinsUntil) {
+		return r.earlier
+	}
+	return r.Instances()
+}
+
 // IsListed reports whether this instance is on the latest roster.
 func (r *Roster) IsListed() bool { return r.isListed.Load() }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -195,3 +195,37 @@
 	check.NoErr(err)
 	check.Equal(r.Arrival(), roster.ArrivalUnknown)
 }
+
+// Guards against an instance that has just joined dividing allowances with others that do not know it yet.
+func TestJoinedInstanceIsEstablishedAfterADelay(t *testing.T) {
+	check := is.New(t)
+	s := store.New()
+	defer s.Close()
+	first := newRoster(s, "edge-1", 0, nil)
+	first.Announce(t.Context())
+	_, err := first.Read(t.Context())
+	check.NoErr(err)
+	check.Equal(len(first.Established()), 1) // it was there first
+	now := time.Now()
+	joined := roster.New(roster.Config{
+		Table:         platform.NewTable(platform.NewStore(s.Address())),
+		ID:            "edge-2",
+		FailureDomain: "here",
+		Address:       "edge-2:1",
+		Offset:        func() (time.Duration, bool) { return 0, true },
+		JoinDelay:     6 * time.Second,
+		Logger:        slog.New(slog.DiscardHandler),
+		Now:           func() time.Time { return now },
+	})
+	check.Equal(len(joined.Established()), 0)
+	for range 2 {
+		_, err := joined.Read(t.Context())
+		check.NoErr(err)
+		joined.Announce(t.Context())
+	}
+	check.Equal(len(joined.Instances()), 2)
+	check.Equal(len(joined.Established()), 1)
+	check.Equal(joined.Established()[0].ID, "edge-1")
+	now = now.Add(6 * time.Second)
+	check.Equal(len(joined.Established()), 2)
+}
