Take a pool that is a quarter full for that of a calm organisation

A pool that has just taken over fills up for a second or two, in which a further time-out made its organisation wait for 2.5 s. An organisation that presses keeps its pool near empty, so a quarter tells the two apart as well as a half.

--- a/limits/allowance.go
+++ b/limits/allowance.go
@@ -214,7 +214,7 @@
 const (
 	// highLevel is the least level of the pool of an organisation that asks for less than its
 	// allowance, and levelTTL how long it is known from an answer.
-	highLevel = 0.5
+	highLevel = 0.25
 	levelTTL  = 2 * time.Second
 )
 
