--- a/plain/conn.go
+++ b/plain/conn.go
@@ -62,12 +62,12 @@
 // remembers it if so. An answer is matched to a send by the ID, so a second copy of the answer to
 // an earlier send on the connection would pass for that to the next one.
 func (c *conn) mayCarry(id string) bool {
-	if id == "" {
-		return true
-	}
 	hash := xxh3.HashString(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if id == "" {
+		return !c.isSpoiled
+	}
 	if c.isSpoiled || len(c.carried) == maxCarried || slices.Contains(c.carried, hash) {
 		return false
 	}
