Log the moves of parts between allowance pools

The traced QUOTA was found by counting time-outs; the log did not say which part moved, whether it counted at once, and why. It now names the organisation, both holders, the level of the old pool and when the part counts. One line a move, none at rest.

--- a/limits/renew.go
+++ b/limits/renew.go
@@ -227,6 +227,10 @@
 			from:       from,
 			previous:   &old,
 		}
+		if old.holder != "" {
+			a.config.Logger.Info("part of allowance moves", "organisation", organisation, "from", old.holder, "to", holder,
+				"domain_pool", domainPool, "level", a.levels[organisation].level, "counts_after", max(0, from.Sub(now)).Round(time.Millisecond))
+		}
 	}
 	l.calls++
 	starts := max(0, l.from.Sub(now))
