--- a/limits/late_test.go
+++ b/limits/late_test.go
@@ -119,3 +119,20 @@
 		}
 	}
 }
+
+// BenchmarkAllowanceTake asks another node's pool, with as many nodes on the roster; one of a used-up
+// allowance stays with the pool that has its part.
+func BenchmarkAllowanceTake(b *testing.B) {
+	for _, nodes := range []int{30, 370} {
+		for _, times := range []float64{0.5, 3} {
+			b.Run(fmt.Sprintf("%d_nodes,_%v_times_the_rate", nodes, times), func(b *testing.B) {
+				f := newFleet(nodes)
+				f.play(5*time.Second, times)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					f.take(f.names[i%nodes], 0)
+				}
+			})
+		}
+	}
+}
--- a/plain/copies_test.go
+++ b/plain/copies_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -154,3 +155,39 @@
 	answered, _, _ := get(t, client, server.listener.Addr().String(), "r-1")
 	check.Equal(answered, "r-0")
 }
+
+// BenchmarkSend sends requests on one connection whose answers are matched by their IDs, or are not.
+func BenchmarkSend(b *testing.B) {
+	for _, isMatched := range []bool{false, true} {
+		b.Run(fmt.Sprint("matched_", isMatched), func(b *testing.B) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Id", r.Header.Get("Id"))
+				_, _ = io.WriteString(w, "answer")
+			}))
+			defer server.Close()
+			config := plain.Config{
+				Upstream: "u",
+				Address:  server.URL,
+			}
+			if isMatched {
+				config.RequestID = func(header http.Header) string { return header.Get("Id") }
+			}
+			client := plain.New(config)
+			defer client.Close()
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				request, err := http.NewRequest(http.MethodGet, server.URL, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				request.Header.Set("Id", fmt.Sprint("request-", i))
+				response, err := client.Send(b.Context(), request)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+		})
+	}
+}
