--- a/limits/renew.go
+++ b/limits/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 )
 
@@ -229,7 +230,7 @@
 		}
 		if old.holder != "" {
 			a.config.Logger.Info("part of allowance moves", "organisation", organisation, "from", old.holder, "to", holder,
-				"domain_pool", domainPool, "level", a.levels[organisation].level, "counts_after", max(0, from.Sub(now)).Round(time.Millisecond))
+				"domain_pool", domainPool, "level", math.Round(100*a.levels[organisation].level)/100, "counts_after", max(0, from.Sub(now)).Round(time.Millisecond))
 		}
 	}
 	l.calls++
