Name the waits for peers apart from their constants

relayTimeout and relayWait were each a constant and a method, which a reader of Relayed could take for one another. Found in reading the change as a newcomer. No change in behaviour; the tests of package registry for readers and relays pass.

--- a/registry/relayed.go
+++ b/registry/relayed.go
@@ -64,16 +64,16 @@
 	newsAt time.Time
 }
 
-// relayTimeout returns how long to wait for the peers.
-func (l *loopState) relayTimeout() time.Duration {
+// peerTimeout returns how long to wait for the peers.
+func (l *loopState) peerTimeout() time.Duration {
 	if l.newsAt.IsZero() {
 		return relayTimeout
 	}
 	return min(relayTimeout, max(minRelayTimeout, time.Until(l.newsAt.Add(maxNewsAge))))
 }
 
-// relayWait returns how long a peer that is called now may wait for a change.
-func (l *loopState) relayWait() time.Duration { return min(relayWait, l.relayTimeout()-relayMargin) }
+// peerWait returns how long a peer that is called now may wait for a change.
+func (l *loopState) peerWait() time.Duration { return min(relayWait, l.peerTimeout()-relayMargin) }
 
 // recordNews records the age of the news of an answer.
 func (l *loopState) recordNews(age time.Duration) {
@@ -104,7 +104,7 @@
 // If a reader that has lost the store were followed by the store itself, all nodes of
 // its failure domain would call the store for as long as the reader cannot.
 func (r *Relayed) callReaders(ctx context.Context, l *loopState, call func(context.Context, Peer) error) bool {
-	ctx, cancel := context.WithTimeout(ctx, l.relayTimeout())
+	ctx, cancel := context.WithTimeout(ctx, l.peerTimeout())
 	defer cancel()
 	readers := r.config.Readers()
 	for _, reader := range readers[:min(len(readers), maxReaders)] {
@@ -173,7 +173,7 @@
 func (r *Relayed) FollowReplicas(ctx context.Context, position uint64, wait time.Duration) (ReplicaChanges, error) {
 	var changes ReplicaChanges
 	if r.callReaders(ctx, &r.replicas, func(ctx context.Context, reader Peer) (err error) {
-		changes, err = reader.ReplicasAfter(ctx, position, min(wait, r.replicas.relayWait()))
+		changes, err = reader.ReplicasAfter(ctx, position, min(wait, r.replicas.peerWait()))
 		return err
 	}) {
 		r.replicas.recordNews(changes.Age)
@@ -193,7 +193,7 @@
 func (r *Relayed) FollowConfig(ctx context.Context, position uint64, wait time.Duration) (ConfigChange, error) {
 	var change ConfigChange
 	if r.callReaders(ctx, &r.configs, func(ctx context.Context, reader Peer) (err error) {
-		change, err = reader.ConfigAfter(ctx, position, min(wait, r.configs.relayWait()))
+		change, err = reader.ConfigAfter(ctx, position, min(wait, r.configs.peerWait()))
 		return err
 	}) {
 		r.configs.recordNews(change.Age)
