--- a/review/stage/replica.go
+++ b/review/stage/replica.go
@@ -32,7 +32,7 @@
 	Zone    string
 
 	stage *Stage
-	// Answer writes the answer to a request that runs; nil sends a short whole answer. It returns
+	// answer writes the answer to a request that runs; nil sends a short whole answer. It returns
 	// false to let the replica crash.
 	answer func(w http.ResponseWriter, r *http.Request, run *Run) bool
 
@@ -43,7 +43,6 @@
 	conns    map[net.Conn]bool
 	runs     []*Run
 	born     int64
-	state    string
 	stop     chan struct{}
 }
 
@@ -59,7 +58,6 @@
 		stage:   s,
 		answer:  answer,
 		address: "127.0.0.1:0",
-		state:   "ready",
 	}
 	r.Boot()
 	s.replicas = append(s.replicas, r)
@@ -119,21 +117,13 @@
 		"zone":            r.Zone,
 		"version":         "v1",
 		"slots":           16,
-		"state":           r.state,
+		"state":           "ready",
 		"coldRemainingMs": 0,
 		"sequence":        0,
 		"born":            r.born,
 	})
 }
 
-// Drain lets the replica say that it leaves.
-func (r *Replica) Drain() {
-	r.mu.Lock()
-	r.state = "draining"
-	r.mu.Unlock()
-	r.beat()
-}
-
 // Crash ends the replica as a kill does: nothing is answered any more, and its channels are reset.
 // Its entry stays until three heartbeats are missing.
 func (r *Replica) Crash() {
@@ -245,7 +235,6 @@
 	Body   string
 	Err    error
 	Took   time.Duration
-	Header http.Header
 }
 
 // String describes the answer for the record.
@@ -263,11 +252,6 @@
 		DisableCompression: true,
 	}
 	defer transport.CloseIdleConnections()
-	return AskOn(transport, address, method, path, header, body, timeout)
-}
-
-// AskOn sends one request on a channel of a transport.
-func AskOn(transport *http.Transport, address, method, path string, header map[string]string, body string, timeout time.Duration) Answer {
 	started := time.Now()
 	answer := Answer{}
 	request, err := http.NewRequest(method, "http://"+address+path, newBody(body))
@@ -293,7 +277,7 @@
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
-	answer.Status, answer.Stamp, answer.Header = response.StatusCode, response.Header.Get("Zinniamast-Server-Stamp"), response.Header
+	answer.Status, answer.Stamp = response.StatusCode, response.Header.Get("Zinniamast-Server-Stamp")
 	answer.Body, answer.Err, answer.Took = string(text), err, time.Since(started)
 	return answer
 }
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"zinniamast/standin/store"
@@ -27,20 +26,18 @@
 type Config struct {
 	// Zones are the zones of the machines, one machine each; a zone may occur twice.
 	Zones []string
-	// Bounds replaces lines of the settings' table of bounds, by key.
-	Bounds map[string]string
-	// FirstOctets is the network of the machines' addresses, such as 127.80.1.
-	FirstOctets string
 }
 
 // Stage is a running deployment.
 type Stage struct {
-	// Store is the platform's store, and Cloud the platform's API.
+	// Store is the platform's store.
 	Store    *store.Store
-	Cloud    *Cloud
 	Machines []*Machine
 
-	config    Config
+	config Config
+	// network is the start of the machines' addresses, such as 127.80.1.
+	network   string
+	cloud     *cloud
 	directory string
 	started   time.Time
 
@@ -81,10 +78,6 @@
 }
 
 func newStage(record string, config Config) (*Stage, error) {
-	if config.FirstOctets == "" {
-		// Two scripts at a time use different networks.
-		config.FirstOctets = fmt.Sprintf("127.%d.%d", 64+os.Getpid()/250%128, 1+os.Getpid()%250)
-	}
 	file, err := os.Create(record)
 	if err != nil {
 		return nil, err
@@ -94,9 +87,11 @@
 		return nil, err
 	}
 	return &Stage{
-		Store:     store.New(),
-		Cloud:     newCloud(),
-		config:    config,
+		Store:  store.New(),
+		config: config,
+		// Two scripts at a time use different addresses.
+		network:   fmt.Sprintf("127.%d.%d", 64+os.Getpid()/250%128, 1+os.Getpid()%250),
+		cloud:     newCloud(),
 		directory: directory,
 		started:   time.Now(),
 		record:    file,
@@ -120,7 +115,7 @@
 	for _, r := range s.replicas {
 		r.Close()
 	}
-	s.Cloud.Close()
+	s.cloud.close()
 	s.Store.Close()
 	_ = os.RemoveAll(s.directory)
 	_ = s.record.Close()
@@ -227,24 +222,24 @@
 		})
 	}
 	for i := range s.Machines {
-		s.WriteSettings(i, s.Store.Address(), true)
+		s.writeSettings(i, true)
 	}
 	for _, m := range s.Machines {
 		m.Start()
 	}
 	for i, m := range s.Machines {
 		m.AwaitReady(15 * time.Second)
-		s.WriteSettings(i, s.Store.Address(), false)
+		s.writeSettings(i, false)
 	}
 	s.Record("%d machines are ready", len(s.Machines))
 }
 
 func (s *Stage) address(machine, port int) string {
-	return fmt.Sprintf("%s.%d:%d", s.config.FirstOctets, machine+1, port)
+	return fmt.Sprintf("%s.%d:%d", s.network, machine+1, port)
 }
 
-// WriteSettings writes the settings file of a machine.
-func (s *Stage) WriteSettings(machine int, storeAddress string, isFirst bool) {
+// writeSettings writes the settings file of a machine.
+func (s *Stage) writeSettings(machine int, isFirst bool) {
 	m := s.Machines[machine]
 	var seeds, zones, bounds strings.Builder
 	seen := map[string]bool{}
@@ -258,15 +253,11 @@
 		seen[zone] = true
 	}
 	for _, bound := range defaultBounds {
-		value := bound[1]
-		if replaced, ok := s.config.Bounds[bound[0]]; ok {
-			value = replaced
-		}
-		fmt.Fprintf(&bounds, "%s = %s\n", bound[0], value)
+		fmt.Fprintf(&bounds, "%s = %s\n", bound[0], bound[1])
 	}
 	ip, _, _ := net.SplitHostPort(m.Frontend)
 	text := fmt.Sprintf(settingsText, m.Name, ip, m.Zone, strings.TrimSuffix(seeds.String(), ","), isFirst, zones.String(),
-		m.Frontend, m.Ready, s.address(machine, controlPort), bounds.String(), storeAddress, s.Cloud.Address())
+		m.Frontend, m.Ready, s.address(machine, controlPort), bounds.String(), s.Store.Address(), s.cloud.address())
 	if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
 		panic(err)
 	}
@@ -309,47 +300,11 @@
 	return answer.Status == 200
 }
 
-// Signal sends a signal to the machine's process.
-func (m *Machine) Signal(signal syscall.Signal) {
-	if m.command != nil && !m.HasExited() {
-		_ = m.command.Process.Signal(signal)
-	}
-}
-
-// HasExited reports whether the process has ended.
-func (m *Machine) HasExited() bool {
-	select {
-	case <-m.exited:
-		return true
-	default:
-		return false
-	}
-}
-
-// AwaitExit waits until the process has ended, and reports whether it has.
-func (m *Machine) AwaitExit(timeout time.Duration) bool {
-	select {
-	case <-m.exited:
-		return true
-	case <-time.After(timeout):
-		return false
-	}
-}
-
 // Kill kills the process and waits for its end.
 func (m *Machine) Kill() {
 	if m.command == nil {
 		return
 	}
-	m.Signal(syscall.SIGKILL)
+	_ = m.command.Process.Kill() // It may have ended by itself.
 	<-m.exited
 }
-
-// PID returns the ID of the machine's process.
-func (m *Machine) PID() int { return m.command.Process.Pid }
-
-// Log returns what the machine's processes have written.
-func (m *Machine) Log() string {
-	text, _ := os.ReadFile(m.log)
-	return string(text)
-}
