--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -96,6 +96,8 @@
 	// nodes and replicas are how many there are; zero means fleetNodes and fleetReplicas.
 	nodes    int
 	replicas int
+	// replicaDomains is in how many failure domains the replicas run; zero means fleetDomains.
+	replicaDomains int
 	// slots is the number of requests that a replica runs at once.
 	slots int
 	// contents are the contents that crash replicas, and parts the parts of a prompt that do.
@@ -272,7 +274,7 @@
 		f.nodes = append(f.nodes, f.newNode(i, time.Time{}))
 	}
 	for i := range config.replicas {
-		f.startReplica(fmt.Sprint("domain-", i%fleetDomains))
+		f.startReplica(fmt.Sprint("domain-", i%cmp.Or(f.config.replicaDomains, fleetDomains)))
 	}
 	return f
 }
@@ -440,7 +442,12 @@
 
 // callWithPrompt is call for a request whose prompt has parts.
 func (f *fleet) callWithPrompt(id, content, prompt string, duration time.Duration) (heldBack, whole bool) {
-	request := httptest.NewRequest(http.MethodPost, pathResumable, strings.NewReader(fmt.Sprint(content, " ", duration.Milliseconds())))
+	return f.callPath(pathResumable, id, content, prompt, duration)
+}
+
+// callPath is callWithPrompt for a request to a path.
+func (f *fleet) callPath(path, id, content, prompt string, duration time.Duration) (heldBack, whole bool) {
+	request := httptest.NewRequest(http.MethodPost, path, strings.NewReader(fmt.Sprint(content, " ", duration.Milliseconds())))
 	request.Host = host
 	request.Header.Set("Zinniamast-Request-Id", id)
 	request.Header.Set("Zinniamast-Deadline-Ms", "5000")
--- a/forward/poison_test.go
+++ b/forward/poison_test.go
@@ -68,3 +68,33 @@
 
 // Guards against a request that reaches a replica once more seconds after its third crash.
 func TestCrashingRequestIsNotSentAfterItsThirdCrash(t *testing.T) { playPoison(t, 0) }
+
+// Guards against discarding crashes as repeated evidence from a failure domain that is the only one of the service.
+func TestCrashingRequestStopsInOnlyFailureDomain(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3, 4, 5} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, fleetConfig{
+					seed:           seed,
+					slots:          8,
+					contents:       []string{"poison"},
+					replicaDomains: 1,
+				})
+				var done sync.WaitGroup
+				done.Go(func() {
+					time.Sleep(5 * time.Second)
+					for number := range 30 {
+						done.Go(func() { f.callPath(pathUnsafe, fmt.Sprint("poison-", number), "poison", "", 0) })
+						time.Sleep(time.Second)
+					}
+				})
+				f.callers(&done, 40, 45*time.Second)
+				done.Wait()
+				time.Sleep(time.Minute)
+				t.Logf("%d crashes, %d late; %d of %d other requests served, %d held back", len(f.crashes["poison"]), f.late("poison"), f.served, f.sent, f.refused)
+				f.is.True(len(f.crashes["poison"]) <= 3)
+				f.is.True(f.refused <= f.sent/500)
+			})
+		})
+	}
+}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -20,6 +20,9 @@
 	// number of those that count as the failure of a whole failure domain.
 	lastInvolved     *crash
 	inDomainFailures int
+	// inSameDomain is the number of those that are not among crashes because another one in
+	// their failure domain had just counted.
+	inSameDomain int
 	// written is the number of successive crashes of replicas that had been answering the
 	// request for a while, beside others that are likelier to have crashed them.
 	written int
@@ -77,6 +80,7 @@
 		e.lastCrash = c
 		before, seen := counted[c.domain]
 		if seen && c.domain != "" && c.at.Sub(before) < domainFailureWindow {
+			e.inSameDomain++
 			continue
 		}
 		counted[c.domain] = c.at
@@ -95,11 +99,11 @@
 // than every other can be the cause, because an innocent request was involved
 // in at most as many crashes as the poison request that it ran beside.
 //
-// If replicas crash for several reasons at once, this comparison may find none of
-// them. A request is then held back after one crash more than the threshold, or two more
-// if it last ran beside one that was in as many, but not beside one that was in more: an
-// innocent request that has failed that often in succession is rare, and one more run
-// would most likely fail as well.
+// If replicas crash for several reasons at once, or all in the only failure domain of a
+// service, this comparison may find none of them. A request is then held back after one
+// crash more than the threshold, or two more if it last ran beside one that was in as
+// many, but not beside one that was in more: an innocent request that has failed that
+// often in succession is rare, and one more run would most likely fail as well.
 func (q *Quarantine) isCulprit(fingerprint uint64, e evidence) bool {
 	if q.freed[fingerprint].onProbation && e.crashes > 0 {
 		return true
@@ -109,8 +113,8 @@
 	if e.written >= maxWritten {
 		return true
 	}
-	hasOtherCause := extraCrashes > 0 || e.inDomainFailures > 0
-	if hasOtherCause && e.involved > threshold {
+	isComparable := extraCrashes == 0 && e.inDomainFailures == 0 && e.inSameDomain == 0
+	if !isComparable && e.involved > threshold {
 		equal, stronger := q.suspectsBeside(fingerprint, e)
 		if stronger == 0 && (equal == 0 || e.involved > threshold+1) {
 			return true
--- a/quarantine/held_test.go
+++ b/quarantine/held_test.go
@@ -41,16 +41,21 @@
 }
 
 func newCluster() *cluster {
+	return newClusterWith(quarantine.Config{
+		FailureDomain: func(upstream string) string { return "domain of " + upstream },
+	})
+}
+
+// newClusterWith returns a cluster of nodes with a configuration.
+func newClusterWith(config quarantine.Config) *cluster {
 	c := &cluster{log: &logBuffer{}}
 	h := &hub{}
+	config.Logger = slog.New(slog.NewTextHandler(c.log, nil))
 	for range 3 {
 		l := &link{hub: h}
 		c.links = append(c.links, l)
-		c.nodes = append(c.nodes, quarantine.New(quarantine.Config{
-			FailureDomain: func(upstream string) string { return "domain of " + upstream },
-			Gossip:        l,
-			Logger:        slog.New(slog.NewTextHandler(c.log, nil)),
-		}))
+		config.Gossip = l
+		c.nodes = append(c.nodes, quarantine.New(config))
 	}
 	return c
 }
--- /dev/null
+++ b/quarantine/one_domain_test.go
@@ -0,0 +1,57 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniamast/quarantine"
+)
+
+// newDomainCluster returns a cluster whose replicas are all in one failure domain.
+func newDomainCluster() *cluster {
+	return newClusterWith(quarantine.Config{
+		FailureDomain: func(string) string { return "domain" },
+	})
+}
+
+// Guards against discarding the crashes of a service in one failure domain as repeated evidence from that domain.
+func TestThirdCrashInOnlyDomainHoldsRequestBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newDomainCluster()
+		defer time.Sleep(time.Second) // for gossip that is still in transit
+		c.crash(0, "r1", firstInnocent, firstInnocent+1)
+		c.crash(1, "r2", firstInnocent, firstInnocent+2)
+		is.Equal(c.refusals(), nowhere)
+		c.crash(2, "r3", firstInnocent+1, firstInnocent+2)
+		is.Equal(c.refusals(), everywhere)
+		for innocent := range uint64(3) {
+			_, err := c.nodes[0].Check(firstInnocent + innocent)
+			is.NoErr(err) // it was in two crashes
+		}
+	})
+}
+
+// Guards against holding back an innocent request that ran beside the cause of each crash in the only failure domain.
+func TestRequestBesideCauseInOnlyDomainIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newDomainCluster()
+		defer time.Sleep(time.Second) // for gossip that is still in transit
+		for i := range 3 {
+			c.crash(i, fmt.Sprint("r", i), firstInnocent)
+		}
+		is.Equal(c.refusals(), nowhere) // the two cannot be told apart
+		c.nodes[0].AttemptStarted("r4", firstInnocent)
+		time.Sleep(time.Second)
+		c.nodes[0].AttemptEnded("r4", firstInnocent, true)
+		time.Sleep(time.Second)
+		is.Equal(c.refusals(), everywhere)
+		_, err := c.nodes[1].Check(firstInnocent)
+		is.NoErr(err)
+	})
+}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -351,3 +351,24 @@
 	}
 	t.Fatal("no node that started later holds the part back")
 }
+
+// Guards against discarding the crashes of the only replica of a service, or of those in its only failure domain.
+func TestPartThatCrashesReplicasOfOneDomainIsHeldBack(t *testing.T) {
+	for name, replicas := range map[string][]string{
+		"one domain":  {"a/1", "a/2", "a/3"},
+		"one replica": {"a/1", "a/1", "a/1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playParts(t, 3, func(is *is.I, nodes []partNode) {
+				for i, replica := range replicas {
+					nodes[i].crash(replica, commonPart, badPart)
+					time.Sleep(3 * time.Second)
+				}
+				for _, n := range nodes {
+					is.True(n.isHeld(commonPart, badPart))
+					is.True(!n.isHeld(commonPart, newPart))
+				}
+			})
+		})
+	}
+}
