--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -209,9 +209,8 @@
 
 // recentCrashes returns the number of replicas of a failure domain that crashed
 // recently. When a domain of hundreds of replicas fails, only its first crashes
-// are published: the others are no evidence against the requests that ran there,
-// and publishing them would saturate the links between nodes for minutes. The
-// caller holds the lock.
+// are published with all requests that ran there: publishing the others would saturate
+// the links between nodes for minutes. The caller holds the lock.
 func (q *Quarantine) recentCrashes(domain string) int {
 	if domain == "" {
 		return 0
@@ -224,3 +223,12 @@
 	}
 	return crashes
 }
+
+// successive returns those of the requests that were in several successive crashes. The
+// caller holds the lock.
+func (q *Quarantine) successive(fingerprints []uint64) []uint64 {
+	return slices.DeleteFunc(fingerprints, func(fingerprint uint64) bool {
+		e := q.evidenceAgainst(fingerprint)
+		return e.involved < 2 && e.written < 2
+	})
+}
--- a/quarantine/one_domain_test.go
+++ b/quarantine/one_domain_test.go
@@ -55,3 +55,30 @@
 		is.NoErr(err)
 	})
 }
+
+// Guards against leaving the other nodes without the later crashes of a domain with several causes.
+func TestCrashesBeyondThirdInDomainAreReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newDomainCluster()
+		defer time.Sleep(time.Second) // for gossip that is still in transit
+		const otherPoison = poisonFingerprint + 1
+		crash := func(replica string, fingerprint uint64) {
+			c.nodes[0].AttemptStarted(replica, fingerprint)
+			time.Sleep(time.Second)
+			c.nodes[0].ReplicaCrashed(replica)
+			c.nodes[0].AttemptEnded(replica, fingerprint, false)
+		}
+		for i := range 3 {
+			crash(fmt.Sprint("r", i), poisonFingerprint)
+			crash(fmt.Sprint("s", i), otherPoison)
+		}
+		time.Sleep(time.Second)
+		for _, node := range c.nodes {
+			for _, fingerprint := range []uint64{poisonFingerprint, otherPoison} {
+				_, err := node.Check(fingerprint)
+				is.True(err != nil)
+			}
+		}
+	})
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -346,15 +347,17 @@
 	now := time.Now()
 	isNew := q.recordCrash(upstream, running, now, ownReport)
 	isNewWriting := q.recordWriting(upstream, writing, now, ownReport)
-	isDomainFailure := q.recentCrashes(q.config.FailureDomain(upstream)) > domainFailureCrashes
+	if q.recentCrashes(q.config.FailureDomain(upstream)) > domainFailureCrashes {
+		running, writing = q.successive(running), q.successive(writing)
+	}
 	q.mu.Unlock()
-	if q.config.Gossip == nil || isDomainFailure {
+	if q.config.Gossip == nil {
 		return
 	}
-	if isNew {
+	if isNew && len(running) > 0 {
 		q.publishCrash(upstream, running)
 	}
-	if isNewWriting {
+	if isNewWriting && len(writing) > 0 {
 		q.publishCrash(writingKeyPrefix+upstream, writing)
 	}
 }
@@ -411,8 +414,7 @@
 
 // findRecentCrash returns the crash to which a report received now belongs, or nil.
 func (q *Quarantine) findRecentCrash(upstream string, now time.Time) *crash {
-	for i := len(q.crashes) - 1; i >= 0; i-- {
-		c := q.crashes[i]
+	for _, c := range slices.Backward(q.crashes) {
 		if now.Sub(c.at) > crashMergeWindow {
 			return nil
 		}
