Count a second crash of a replica that was started again (BUDGET)

A service whose only replica starts again under its ID after each crash went on receiving the request that crashed it: reports about one replica within 10 s belong to one crash, so that with a start every 3 s two of three crashes did not count.

A report now belongs to the known crash only if the replica was not started again since, by the start time that its own entry names.

TestThirdCrashOfRestartedReplicaHoldsRequestBack fails without the comparison (run with it taken out: nobody refuses). TestReportsOfOneCrashAreMerged holds before and after. Prompt parts keep the depth of each crash in the merged record and are not affected: TestPartThatCrashesReplicasOfOneDomainIsHeldBack/one_replica passes before and after.

--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -245,6 +245,7 @@
 	s := e.config.Settings
 	e.quarantine = quarantine.New(quarantine.Config{
 		FailureDomain: e.failureDomain,
+		Started:       e.replicaStarted,
 		Gossip:        e.members,
 		Table:         e.table,
 		Logger:        e.config.Logger,
@@ -319,6 +320,14 @@
 	return ""
 }
 
+// replicaStarted returns when a replica was last started, or the zero time if it is not known.
+func (e *Entry) replicaStarted(replica string) time.Time {
+	if u := e.board.Upstreams.Get(replica); u != nil {
+		return u.Instance.Started
+	}
+	return time.Time{}
+}
+
 // duties returns the controllers that act for the fleet while this node holds
 // the lease.
 func (e *Entry) duties() []func(context.Context) {
--- a/node/services.go
+++ b/node/services.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"zinniamast/claims"
 	"zinniamast/config"
 	"zinniamast/issuedkeys"
@@ -18,6 +20,7 @@
 			}).QuarantineAfter
 		},
 		FailureDomain: n.failureDomainOf,
+		Started:       n.startedOf,
 		Gossip:        n.members,
 		Logger:        n.config.Logger,
 		Registerer:    n.registry,
@@ -37,6 +40,13 @@
 	return ""
 }
 
+func (n *Node) startedOf(upstream string) time.Time {
+	if known := n.board.Upstreams.Get(upstream); known != nil {
+		return known.Instance.Started
+	}
+	return time.Time{}
+}
+
 // registerServices builds the handler for plain services and registers its receiver.
 func (n *Node) registerServices(budget *retry.Policy) error {
 	s := n.config.Settings
--- a/quarantine/one_domain_test.go
+++ b/quarantine/one_domain_test.go
@@ -82,3 +82,45 @@
 		}
 	})
 }
+
+// Guards against merging the crashes of a replica that starts again under its ID.
+func TestThirdCrashOfRestartedReplicaHoldsRequestBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		starts := 0
+		c := newClusterWith(quarantine.Config{
+			FailureDomain: func(string) string { return "domain" },
+			Started:       func(string) time.Time { return time.UnixMilli(int64(1 + starts)) },
+		})
+		defer time.Sleep(time.Second) // for gossip that is still in transit
+		for i := range 3 {
+			is.Equal(c.refusals(), nowhere)
+			c.crash(i, "only", firstInnocent+uint64(i))
+			starts++
+		}
+		is.Equal(c.refusals(), everywhere)
+		_, err := c.nodes[0].Check(firstInnocent)
+		is.NoErr(err)
+	})
+}
+
+// Guards against counting the reports of several nodes about one crash as several crashes.
+func TestReportsOfOneCrashAreMerged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newClusterWith(quarantine.Config{
+			FailureDomain: func(string) string { return "domain" },
+			Started:       func(string) time.Time { return time.UnixMilli(1) },
+		})
+		defer time.Sleep(time.Second) // for gossip that is still in transit
+		for _, node := range c.nodes {
+			node.AttemptStarted("only", poisonFingerprint)
+		}
+		for _, node := range c.nodes {
+			node.ReplicaCrashed("only")
+			node.AttemptEnded("only", poisonFingerprint, false)
+			time.Sleep(time.Second)
+		}
+		is.Equal(c.refusals(), nowhere)
+	})
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -22,6 +22,9 @@
 	// FailureDomain returns the failure domain of a replica, or "" if it is unknown.
 	// If nil, all are unknown.
 	FailureDomain func(upstream string) string
+	// Started returns when a replica was last started, or the zero time if it is unknown.
+	// If nil, all are unknown.
+	Started func(upstream string) time.Time
 	// Gossip exchanges reports with the other nodes. If nil, only this node's own
 	// crashes count.
 	Gossip zinniamast.Gossip
@@ -89,6 +92,8 @@
 	upstream string
 	domain   string
 	at       time.Time
+	// started is when the replica that crashed had been started.
+	started time.Time
 	// running holds the fingerprints of the requests that ran on the replica, as
 	// reported by all nodes, with the time of the latest report.
 	running map[uint64]time.Time
@@ -121,6 +126,9 @@
 	if config.FailureDomain == nil {
 		config.FailureDomain = func(string) string { return "" }
 	}
+	if config.Started == nil {
+		config.Started = func(string) time.Time { return time.Time{} }
+	}
 	if config.Logger == nil {
 		config.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -387,6 +395,7 @@
 			upstream: upstream,
 			domain:   q.config.FailureDomain(upstream),
 			at:       now,
+			started:  q.config.Started(upstream),
 			running:  map[uint64]time.Time{},
 			writing:  map[uint64]time.Time{},
 		}
@@ -412,13 +421,17 @@
 	return isNew
 }
 
-// findRecentCrash returns the crash to which a report received now belongs, or nil.
+// findRecentCrash returns the crash to which a report received now belongs, or nil. A
+// replica that was started again since has crashed again.
 func (q *Quarantine) findRecentCrash(upstream string, now time.Time) *crash {
 	for _, c := range slices.Backward(q.crashes) {
 		if now.Sub(c.at) > crashMergeWindow {
 			return nil
 		}
 		if c.upstream == upstream {
+			if !c.started.IsZero() && q.config.Started(upstream).After(c.started) {
+				return nil
+			}
 			return c
 		}
 	}
