--- a/plain/client.go
+++ b/plain/client.go
@@ -127,7 +127,8 @@
 		guard.request, guard.requestID = c.config.RequestID(request.Header), c.config.RequestID
 	}
 	trace := &httptrace.ClientTrace{
-		GotConn: guard.gotConn,
+		GotConn:      guard.gotConn,
+		WroteRequest: guard.wroteRequest,
 	}
 	response, err := c.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -39,6 +40,8 @@
 	net.Conn
 	state    atomic.Int32
 	deadline atomic.Int64
+	// upload is that of the current request; nil before the first one.
+	upload atomic.Pointer[upload]
 	// requests counts the requests that were given the connection.
 	requests int
 	// awaited is the present request until its answer begins to arrive; nil before and after that,
@@ -91,6 +94,7 @@
 
 // prepare resets the connection for a request that may be sent until the deadline.
 func (c *conn) prepare(deadline time.Time) {
+	c.upload.Store(newUpload())
 	c.deadline.Store(deadline.UnixNano())
 	c.state.Store(unsent)
 }
@@ -114,7 +118,16 @@
 	if c.state.Load() == sealed {
 		return 0, errSealed
 	}
-	return c.Conn.Write(p)
+	return c.upload.Load().write(c.Conn, p)
+}
+
+// read reads from the network.
+func (c *conn) read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if u := c.upload.Load(); err == io.EOF && u != nil {
+		err = u.readEnd()
+	}
+	return n, err
 }
 
 // DialFunc opens a connection.
@@ -214,6 +227,15 @@
 	return fmt.Errorf("on a connection idle for %v before: %w", g.idle.Round(time.Millisecond), err)
 }
 
+// wroteRequest is called by net/http when it has passed on all of the request to the connection.
+func (g *sendGuard) wroteRequest(info httptrace.WroteRequestInfo) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.current != nil {
+		g.current.upload.Load().wrote(info)
+	}
+}
+
 // nothingSent reports whether no byte was written. If so, it seals the connection, so
 // that none will be.
 func (g *sendGuard) nothingSent() bool {
--- a/plain/copies.go
+++ b/plain/copies.go
@@ -43,7 +43,7 @@
 // ahead of the answer to the present one, whose caller would otherwise not learn how it has ended.
 func (c *conn) Read(p []byte) (int, error) {
 	for len(c.held) == 0 {
-		n, err := c.Conn.Read(p)
+		n, err := c.read(p)
 		request := c.awaited.Load()
 		if request == nil || n == 0 {
 			return n, err
@@ -100,7 +100,7 @@
 // holdMore reads more of the head. It returns false if the connection has ended.
 func (c *conn) holdMore() bool {
 	var buffer [4 << 10]byte
-	n, err := c.Conn.Read(buffer[:])
+	n, err := c.read(buffer[:])
 	c.held = append(c.held, buffer[:n]...)
 	return err == nil
 }
