--- a/egress/unframed_test.go
+++ b/egress/unframed_test.go
@@ -1,8 +1,11 @@
 package egress_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"net/http"
+	"strings"
 	"testing"
 
 	"zinniamast/plain"
@@ -28,6 +31,24 @@
 	}
 }
 
+// Guards against a relay that passes on an answer that is reset during its upload as a whole one.
+func TestRelayedEarlyAnswerThatIsResetIsNotWhole(t *testing.T) {
+	f := newFixture(t)
+	f.replica.SetBehaviour(replica.Behaviour{
+		Unframed: true,
+		ResetEnd: true,
+		Early:    true,
+	})
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.replica.Address()+"/pay/x", strings.NewReader(strings.Repeat("x", 4<<20)))
+	f.is.NoErr(err)
+	request.Header.Set("Zinniamast-Expect-Instance", "i-1")
+	response, err := f.client.Send(t.Context(), request)
+	f.is.NoErr(err)
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	f.is.True(errors.Is(err, io.ErrUnexpectedEOF))
+}
+
 // Guards against a relayed answer that ends with its connection and seems to have a marked end.
 func TestRelayKeepsFraming(t *testing.T) {
 	for _, isUnframed := range []bool{false, true} {
--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -131,6 +131,57 @@
 	}
 }
 
+// Guards against an answer that is reset during its upload and is passed on as a whole one.
+func TestEarlyAnswerThatIsResetIsNotPassedOnAsWhole(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		events int
+		status int
+		runs   int
+	}{
+		{
+			path:   pathUnsafe,
+			status: http.StatusBadGateway,
+			runs:   1,
+		},
+		{
+			path:   pathSafe,
+			status: http.StatusBadGateway,
+			runs:   2,
+		},
+		{
+			path:   pathStream,
+			events: 4,
+			status: http.StatusOK,
+			runs:   1,
+		},
+		{
+			path:   pathResumable,
+			events: 4,
+			status: http.StatusOK,
+			runs:   2,
+		},
+	} {
+		t.Run(c.path, func(t *testing.T) {
+			f := newFixture(t, 2)
+			config := configuration()
+			config.Version++
+			config.Limits.MaxBodyBytes = 8 << 20
+			f.routes.Apply(config)
+			f.setBehaviour(replica.Behaviour{
+				Unframed: true,
+				ResetEnd: true,
+				Early:    true,
+				Events:   c.events,
+			})
+			got := f.do(f.request(http.MethodPost, c.path, strings.Repeat("x", 4<<20)))
+			f.is.True(got.broken || got.status != http.StatusOK)
+			f.is.Equal(got.status, c.status)
+			f.is.Equal(f.runCount(), c.runs)
+		})
+	}
+}
+
 // Guards against an answer without end that looks complete, or that outlasts its caller's deadline.
 func TestAnswerWithoutEndIsNeverWhole(t *testing.T) {
 	is := is.New(t)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -80,6 +80,8 @@
 	// connection. ResetEnd then ends the connection with a reset.
 	Unframed bool
 	ResetEnd bool
+	// Early answers before the body of the request is read, of which nothing is read then.
+	Early bool
 	// Endless lets an unframed answer go on with bytes that end no event until the caller
 	// closes the connection.
 	Endless bool
@@ -195,9 +197,12 @@
 		r.serveReport(w, request)
 		return
 	}
-	body, err := io.ReadAll(request.Body)
-	if err != nil {
-		return
+	var body []byte
+	if !r.isEarly() {
+		var err error
+		if body, err = io.ReadAll(request.Body); err != nil {
+			return
+		}
 	}
 	run := &Run{
 		ID:           request.Header.Get("Zinniamast-Request-Id"),
@@ -239,6 +244,12 @@
 	r.answer(w, request, run, b)
 }
 
+func (r *Replica) isEarly() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.behaviour.Early
+}
+
 // isStream reports whether a request is below StreamPrefix.
 func (r *Replica) isStream(request *http.Request) bool {
 	return r.StreamPrefix != "" && strings.HasPrefix(request.URL.Path, r.StreamPrefix)
