--- a/egress/unframed_test.go
+++ b/egress/unframed_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"zinniamast"
 	"zinniamast/plain"
 	"zinniamast/standin/replica"
 )
@@ -49,6 +50,19 @@
 	f.is.True(errors.Is(err, io.ErrUnexpectedEOF))
 }
 
+// Guards against a peer that fails to pass on an invalid status, so that the failure counts as the peer's.
+func TestRelayedAnswerWithInvalidStatusIsReplicasFailure(t *testing.T) {
+	for _, status := range []string{"000", "999"} {
+		f := newFixture(t)
+		f.replica.SetBehaviour(replica.Behaviour{
+			Unframed:  true,
+			RawStatus: status,
+		})
+		_, err := f.send(t.Context())
+		f.is.Equal(zinniamast.AsUpstreamError(err).Failure, zinniamast.FailureError)
+	}
+}
+
 // Guards against a relayed answer that ends with its connection and seems to have a marked end.
 func TestRelayKeepsFraming(t *testing.T) {
 	for _, isUnframed := range []bool{false, true} {
--- a/plain/client.go
+++ b/plain/client.go
@@ -140,9 +140,18 @@
 		ReadCloser: response.Body,
 		cancel:     cancel,
 	}
+	if !isFinalStatus(response.StatusCode) {
+		cancel() // the connection must not be used again
+		_ = response.Body.Close()
+		return nil, c.upstreamError(zinniamast.FailureError, fmt.Errorf("plain: answer with the invalid status %q", response.Status))
+	}
 	return response, nil
 }
 
+// isFinalStatus reports whether a status may end a request (RFC 9110, section 15). net/http also
+// returns other three-digit ones, and 101, which no request here asks for.
+func isFinalStatus(status int) bool { return status >= 200 && status <= 599 }
+
 // EndsWithConnection reports whether only the end of its connection marks the end of an answer's
 // body. It may then be incomplete, as the kernel closes the connections of a killed process in order.
 func EndsWithConnection(response *http.Response) bool {
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -80,6 +80,9 @@
 	// connection. ResetEnd then ends the connection with a reset.
 	Unframed bool
 	ResetEnd bool
+	// RawStatus is the status in the first line of an unframed answer; empty means that of
+	// Status.
+	RawStatus string
 	// Early answers before the body of the request is read, of which nothing is read then.
 	Early bool
 	// Endless lets an unframed answer go on with bytes that end no event until the caller
--- a/standin/replica/unframed.go
+++ b/standin/replica/unframed.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -24,7 +25,7 @@
 	if b.Status != 0 {
 		status = b.Status
 	}
-	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 %s %s\r\n", cmp.Or(b.RawStatus, strconv.Itoa(status)), http.StatusText(status))
 	_ = header.Write(buffered)
 	_, _ = fmt.Fprint(buffered, "Connection: close\r\n\r\n")
 	if b.Events == 0 {
