--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -222,11 +222,13 @@
 }
 
 const (
-	// ownMemory is the part of an instance's memory that the process takes without requests, and
-	// bodyMemoryFraction the fraction of the rest that the bodies of requests may take. What remains
-	// is for garbage and for bytes that are received and not read yet.
-	ownMemory          = 64 << 20
-	bodyMemoryFraction = 0.7
+	// ownMemory is the part of an instance's memory that the process takes without requests.
+	// bodyMemoryFraction and eventMemoryFraction are the fractions of the rest that the bodies of
+	// requests and unfinished events of streams may take. What remains is for garbage and for bytes
+	// that are received and not read yet.
+	ownMemory           = 64 << 20
+	bodyMemoryFraction  = 0.7
+	eventMemoryFraction = 0.1
 )
 
 // maxBodies returns how many bytes of bodies an instance may keep; zero if its memory is not limited.
@@ -237,9 +239,21 @@
 	return max(minBodies, int64(bodyMemoryFraction*float64(memory-ownMemory)))
 }
 
+// maxEvents returns how many bytes of unfinished events an instance may keep; zero if its memory is not
+// limited.
+func maxEvents(memory int64) int64 {
+	if memory <= 0 {
+		return 0
+	}
+	return max(minEvents, int64(eventMemoryFraction*float64(memory-ownMemory)))
+}
+
 // minBodies lets the smallest instances take a request with the largest body that is usual.
 const minBodies = 16 << 20
 
+// minEvents lets the smallest instances take a few of the largest events.
+const minEvents = 4 << 20
+
 // buildServers builds the servers for callers and for readiness checks.
 func (e *Entry) buildServers() {
 	s := e.config.Settings
@@ -277,6 +291,7 @@
 		Meter:         e.usage,
 		Demand:        e.demand,
 		MaxBodies:     maxBodies(s.MemoryBytes),
+		MaxEvents:     maxEvents(s.MemoryBytes),
 		Closing:       e.closing.Load,
 		Stopping:      e.stopping.Load,
 		Logger:        e.config.Logger,
--- a/forward/bodies.go
+++ b/forward/bodies.go
@@ -9,19 +9,19 @@
 // bodyStep is how much memory a body of unknown length reserves at a time.
 const bodyStep = 64 << 10
 
-// errBodiesFull means that a body has no place beside those that are kept.
-var errBodiesFull = errors.New("forward: the bodies in memory leave no place for another")
+// errMemoryFull means that a body or an event has no place beside those that are kept.
+var errMemoryFull = errors.New("what other requests keep in memory leaves no place")
 
-// bodyBudget bounds the bodies of all requests that are kept in memory. A body is kept until its
-// request has ended.
-type bodyBudget struct {
+// memoryBudget bounds what all requests together keep in memory, such as their bodies. A body is kept
+// until its request has ended.
+type memoryBudget struct {
 	// limit is the bound in bytes; zero means none.
 	limit int64
 	used  atomic.Int64
 }
 
 // reserve reserves memory and reports whether there was enough.
-func (b *bodyBudget) reserve(bytes int64) bool {
+func (b *memoryBudget) reserve(bytes int64) bool {
 	if b.used.Add(bytes) > b.limit && b.limit > 0 {
 		b.used.Add(-bytes)
 		return false
@@ -29,16 +29,16 @@
 	return true
 }
 
-// reservation is the memory that one body has reserved.
+// reservation is the memory that one request has reserved.
 type reservation struct {
-	budget *bodyBudget
+	budget *memoryBudget
 	bytes  int64
 }
 
 // grow reserves more memory.
 func (r *reservation) grow(bytes int64) error {
 	if !r.budget.reserve(bytes) {
-		return errBodiesFull
+		return errMemoryFull
 	}
 	r.bytes += bytes
 	return nil
--- a/forward/events.go
+++ b/forward/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -16,6 +17,9 @@
 	maxEventBytes = 1 << 20
 )
 
+// errEventTooLarge is the error of a stream with an event that is not kept until it ends.
+var errEventTooLarge = errors.New("the event is too large")
+
 // streamBuffers pools read buffers so that forwarding a stream does not allocate
 // a new one.
 var streamBuffers = sync.Pool{
@@ -34,16 +38,21 @@
 	buffer []byte
 	filled int
 	taken  int
+	// memory is what the buffer takes beyond the pooled one.
+	memory reservation
 	// err is the error that ended the stream; io.EOF at its regular end.
 	err error
 }
 
-func newEventReader(body io.Reader) *eventReader {
+func newEventReader(body io.Reader, budget *memoryBudget) *eventReader {
 	pooled, _ := streamBuffers.Get().(*[]byte)
 	return &eventReader{
 		body:   body,
 		pooled: pooled,
 		buffer: *pooled,
+		memory: reservation{
+			budget: budget,
+		},
 	}
 }
 
@@ -51,32 +60,61 @@
 // It returns nothing once the stream has ended, and may return the last events
 // together with the end.
 func (r *eventReader) next() []byte {
-	r.filled = copy(r.buffer, r.buffer[r.taken:r.filled])
-	r.taken = 0
+	r.discardTaken()
+	searched := 0
 	for r.err == nil {
-		if r.filled >= maxEventBytes {
-			r.err = fmt.Errorf("event is larger than %d bytes", maxEventBytes)
+		if r.err = r.makeRoom(); r.err != nil {
 			break
 		}
-		if r.filled == len(r.buffer) {
-			r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
-		}
 		n, err := r.body.Read(r.buffer[r.filled:])
 		r.filled += n
 		r.err = err
-		if r.taken = wholeEventsLength(r.buffer[:r.filled]); r.taken > 0 {
+		// The end of an event may have begun in what was read before.
+		from := max(0, searched-len(eventEnd)+1)
+		searched = r.filled
+		if length := wholeEventsLength(r.buffer[from:r.filled]); length > 0 {
+			r.taken = from + length
 			return r.buffer[:r.taken]
 		}
 	}
 	return nil
 }
 
+// discardTaken moves what next has not returned to the start of the buffer, and returns to the pooled
+// one if that suffices.
+func (r *eventReader) discardTaken() {
+	rest := r.buffer[r.taken:r.filled]
+	if len(rest) < len(*r.pooled) && len(r.buffer) > len(*r.pooled) {
+		r.buffer = *r.pooled
+		r.memory.release()
+	}
+	r.filled = copy(r.buffer, rest)
+	r.taken = 0
+}
+
+// makeRoom enlarges a full buffer. It returns an error if the event is too large, or if there is no
+// memory for it beside those of the other streams.
+func (r *eventReader) makeRoom() error {
+	switch {
+	case r.filled < len(r.buffer):
+		return nil
+	case r.filled >= maxEventBytes:
+		return fmt.Errorf("%w: more than %d bytes", errEventTooLarge, maxEventBytes)
+	}
+	if err := r.memory.grow(int64(len(r.buffer))); err != nil {
+		return fmt.Errorf("%w: more than %d bytes and %w", errEventTooLarge, r.filled, err)
+	}
+	r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
+	return nil
+}
+
 // isWhole reports whether the stream has ended after a whole event.
 func (r *eventReader) isWhole() bool { return r.err == io.EOF && r.filled == r.taken }
 
 // free returns the buffer to the pool. The reader must not be used after it.
 func (r *eventReader) free() {
 	if r != nil {
+		r.memory.release()
 		streamBuffers.Put(r.pooled)
 	}
 }
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -131,6 +131,9 @@
 	Closing func() bool
 	// MaxBodies bounds the bodies of all requests in memory, in bytes; zero means that nothing does.
 	MaxBodies int64
+	// MaxEvents bounds the unfinished events of all streams in memory, in bytes, beside a small
+	// buffer of each stream; zero means that nothing does.
+	MaxEvents int64
 	// Stopping reports whether the node is about to stop. Each connection is then
 	// closed after its next answer.
 	Stopping func() bool
@@ -143,7 +146,8 @@
 type Handler struct {
 	config  Config
 	metrics *metrics
-	bodies  bodyBudget
+	bodies  memoryBudget
+	events  memoryBudget
 }
 
 // New returns a handler.
@@ -170,15 +174,28 @@
 	h := &Handler{
 		config:  config,
 		metrics: newMetrics(config.Registerer),
-		bodies: bodyBudget{
+		bodies: memoryBudget{
 			limit: config.MaxBodies,
 		},
+		events: memoryBudget{
+			limit: config.MaxEvents,
+		},
 	}
-	promauto.With(config.Registerer).NewGaugeFunc(prometheus.GaugeOpts{
+	h.registerMemory()
+	return h
+}
+
+// registerMemory registers the gauges of what requests keep in memory.
+func (h *Handler) registerMemory() {
+	factory := promauto.With(h.config.Registerer)
+	factory.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "zinniamast_forward_body_bytes",
 		Help: "Memory that the bodies of requests in progress take.",
 	}, func() float64 { return float64(h.bodies.used.Load()) })
-	return h
+	factory.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "zinniamast_forward_event_bytes",
+		Help: "Memory that unfinished events of streams take beyond their small buffers.",
+	}, func() float64 { return float64(h.events.used.Load()) })
 }
 
 // defaultTimeout applies if neither the caller nor the route sets a timeout.
@@ -403,7 +420,7 @@
 		h.config.Logger.Debug("failed to change the read deadline", "cause", err)
 	}
 	body, err := c.memory.readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	if errors.Is(err, errBodiesFull) {
+	if errors.Is(err, errMemoryFull) {
 		return zinniamast.Refuse(zinniamast.ReasonMemoryFull, "too many bodies are in memory").WithRetryAfter(fullRetryAfter)
 	}
 	if err != nil {
--- a/forward/send.go
+++ b/forward/send.go
@@ -369,7 +369,7 @@
 		return upstreamError(s.upstream, zinniamast.FailureError, fmt.Errorf("forward: replica failed with status %d and does not say that nothing ran", response.StatusCode))
 	}
 	if c.route.Kind == routes.Stream && response.StatusCode == http.StatusOK {
-		s.stream = newEventReader(response.Body)
+		s.stream = newEventReader(response.Body, &h.events)
 		return nil
 	}
 	if s.resumes {
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -70,6 +70,10 @@
 	BreakNew bool
 	// Gap is the time between events.
 	Gap time.Duration
+	// EventPadding is how many more bytes the first event has, and OpenEvent how many bytes the
+	// replica sends of one more event after the last, which it never ends.
+	EventPadding int
+	OpenEvent    int
 	// PauseAfter is the number of events after which the stream pauses once, for
 	// the duration Pause; zero means never.
 	PauseAfter int
@@ -349,7 +353,11 @@
 			flusher.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, EventData(r.StreamPrefix != "", request.Header.Get("Zinniamast-Request-Id"), i))
+		padding := ""
+		if i == 1 {
+			padding = strings.Repeat("x", b.EventPadding)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s%s\n\n", i, EventData(r.StreamPrefix != "", request.Header.Get("Zinniamast-Request-Id"), i), padding)
 		flusher.Flush()
 		gap := b.Gap
 		if i == b.PauseAfter {
@@ -361,6 +369,12 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	if b.OpenEvent > 0 {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s", b.Events+1, strings.Repeat("x", b.OpenEvent))
+		flusher.Flush()
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // EventData returns the data of an event of a stream. If named is set, it includes the
