Do not take an event that is too large for a crash (LOST)

A stream that this node ends, as its event has no end, was reported as cut short, so that the quarantine counted a crash of the replica and, after two or three of them, held back a request whose replicas were only faulty. It is now an error of the replica, which counts against its health.

TestEventWithoutEndIsNoCrash fails before: "replica broke off" is logged for each send.

--- a/forward/large_event_test.go
+++ b/forward/large_event_test.go
@@ -99,3 +99,21 @@
 	f.is.True(!got.broken)
 	f.is.Equal(strings.ReplaceAll(got.body, strings.Repeat("x", 400<<10), ""), events(2))
 }
+
+// Guards against counting an event without end as a crash of its replica, which would hold the request back.
+func TestEventWithoutEndIsNoCrash(t *testing.T) {
+	f := newEventFixture(t, 2, 1<<20)
+	f.setBehaviour(replica.Behaviour{
+		Events:    1,
+		OpenEvent: 2 << 20,
+	})
+	for range 4 {
+		f.is.True(f.do(f.request(http.MethodGet, pathResumable, "")).broken)
+	}
+	f.is.True(len(f.log.linesWith("the event is too large")) > 0)
+	f.is.Equal(len(f.log.linesWith("replica broke off")), 0)
+	f.setBehaviour(replica.Behaviour{
+		Events: 4,
+	})
+	f.is.Equal(f.do(f.request(http.MethodGet, pathResumable, "")).body, events(4))
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -435,6 +435,8 @@
 		return zinniamast.FailureRelay
 	case errors.Is(err, zinniamast.ErrPathLost):
 		return zinniamast.FailurePath
+	case errors.Is(err, errEventTooLarge):
+		return zinniamast.FailureError
 	}
 	return zinniamast.FailureCutShort
 }
