--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -294,6 +294,7 @@
 		MaxEvents:     maxEvents(s.MemoryBytes),
 		Closing:       e.closing.Load,
 		Stopping:      e.stopping.Load,
+		StopsAt:       e.abortTime,
 		Logger:        e.config.Logger,
 		Registerer:    e.registry,
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -151,6 +151,8 @@
 	readyServer    *http.Server
 	listeners      []net.Listener
 	stopping       atomic.Bool
+	// stopsAt is when a stopping node aborts the requests that still run.
+	stopsAt atomic.Pointer[time.Time]
 	// closing is set once the node refuses new requests.
 	closing atomic.Bool
 }
@@ -287,15 +289,16 @@
 
 // stop lets running requests finish. The node first reports itself as not ready to
 // the load balancer and closes each connection with its next answer, so that no
-// request is sent on a closed connection. A request that arrives on a kept-alive
-// connection late in the stop would be cut off in the middle of its answer at the
-// stop timeout. After stopLinger, new requests are therefore refused at once and
-// idle connections are closed.
+// request is sent on a closed connection. A request that could outlast the stop would be
+// cut off in the middle of its answer at the stop timeout and is refused at once. After
+// stopLinger, all new requests are and idle connections are closed.
 func (e *Entry) stop() {
 	start := time.Now()
+	stopsAt := start.Add(e.config.Settings.StopTimeout - stopMargin)
+	e.stopsAt.Store(&stopsAt)
 	e.stopping.Store(true)
 	e.config.Logger.Info("entry instance stopping", "instance", e.config.Settings.Instance)
-	ctx, cancel := context.WithTimeout(context.Background(), e.config.Settings.StopTimeout-stopMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), stopsAt)
 	defer cancel()
 	select {
 	case <-time.After(stopLinger):
@@ -335,7 +338,16 @@
 	return errors.Join(e.callerServer.Shutdown(ctx), <-relays)
 }
 
-// stopLinger is how long a stopping node still accepts requests. The load balancer
-// checks readiness every second and removes a node after two failed checks, and an
-// accepted request must end within the rest of the stop timeout.
+// abortTime returns when a stopping node aborts the requests that still run, and the zero time
+// while it is not stopping.
+func (e *Entry) abortTime() time.Time {
+	if at := e.stopsAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// stopLinger is how long a stopping node still accepts requests whose deadline is before
+// the end of the stop. The load balancer checks readiness every second and removes a node
+// after two failed checks.
 const stopLinger = 2500 * time.Millisecond
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -137,7 +137,10 @@
 	// Stopping reports whether the node is about to stop. Each connection is then
 	// closed after its next answer.
 	Stopping func() bool
-	Logger   *slog.Logger
+	// StopsAt returns when a stopping node aborts the requests that still run, and the zero time
+	// while it is not stopping; nil means that it aborts none.
+	StopsAt func() time.Time
+	Logger  *slog.Logger
 	// Registerer registers the metrics; nil leaves them unregistered.
 	Registerer prometheus.Registerer
 }
@@ -171,6 +174,9 @@
 	if config.Queue == nil {
 		config.Queue = queue.New(queue.Config{})
 	}
+	if config.StopsAt == nil {
+		config.StopsAt = func() time.Time { return time.Time{} }
+	}
 	h := &Handler{
 		config:  config,
 		metrics: newMetrics(config.Registerer),
@@ -223,7 +229,10 @@
 	c, refusal := h.admit(r, arrived)
 	defer c.memory.release()
 	if refusal == nil && h.config.Closing() {
-		refusal = zinniamast.Refuse(zinniamast.ReasonStopping, "this node stops").WithRetryAfter(stoppingRetryAfter)
+		refusal = refusalOfStop()
+	}
+	if refusal == nil {
+		refusal = h.checkStop(c)
 	}
 	if refusal == nil {
 		refusal = h.readBody(w, r, c)
@@ -243,6 +252,20 @@
 	h.run(ctx, w, c)
 }
 
+// checkStop refuses a request that this node may have to abort before its deadline, as it stops.
+// Another node can still run it.
+func (h *Handler) checkStop(c *call) *zinniamast.Refusal {
+	stopsAt := h.config.StopsAt()
+	if stopsAt.IsZero() || !c.deadline.After(stopsAt) {
+		return nil
+	}
+	return refusalOfStop()
+}
+
+func refusalOfStop() *zinniamast.Refusal {
+	return zinniamast.Refuse(zinniamast.ReasonStopping, "this node stops").WithRetryAfter(stoppingRetryAfter)
+}
+
 // reportPanic logs a panic other than http.ErrAbortHandler, which closes a
 // connection on purpose: net/http reports a panic only at debug level, and the
 // caller sees nothing but a closed connection. The panic continues as
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -44,6 +44,11 @@
 		if refusal := h.recheck(c); refusal != nil {
 			return routed{}, refusal
 		}
+		if c.ran == zinniamast.NotRun && !a.begun {
+			if refusal := h.checkStop(c); refusal != nil {
+				return routed{}, refusal
+			}
+		}
 		if refusal := h.awaitTurn(ctx, a, c); refusal != nil {
 			return routed{}, refusal
 		}
