--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -33,6 +34,8 @@
 	// peer is the server of the peer, and atPeer the peer's view of the replica.
 	peer   *httptest.Server
 	atPeer *blackboard.Upstream
+	// abortAtPeer ends the requests that the peer relays, as a stop does.
+	abortAtPeer context.CancelFunc
 }
 
 // unreachable is a client whose connections fail.
@@ -68,7 +71,12 @@
 		Address:  "http://" + f.replica.Address(),
 	})))
 	atPeer.Add(f.atPeer)
-	f.peer = httptest.NewServer(peer)
+	serving, abort := context.WithCancel(context.Background())
+	t.Cleanup(abort)
+	f.abortAtPeer = abort
+	f.peer = httptest.NewUnstartedServer(peer)
+	f.peer.Config.BaseContext = func(net.Listener) context.Context { return serving }
+	f.peer.Start()
 	t.Cleanup(f.peer.Close)
 
 	upstreams := blackboard.NewUpstreams()
@@ -186,6 +194,21 @@
 	f.is.Equal(zinniamast.AsUpstreamError(err).Outcome().Ran, zinniamast.Unknown)
 }
 
+// Guards against counting the end of a peer's stop as a crash of the replica that was answering through it.
+func TestStopOfPeerIsToldFromLostReplica(t *testing.T) {
+	f := newFixture(t)
+	f.replica.SetBehaviour(replica.Behaviour{
+		Events: 100,
+		Gap:    20 * time.Millisecond,
+	})
+	response, err := f.send(t.Context())
+	f.is.NoErr(err)
+	defer response.Body.Close()
+	f.abortAtPeer()
+	_, err = io.ReadAll(response.Body)
+	f.is.True(errors.Is(err, zinniamast.ErrRelayLost))
+}
+
 // Guards against a peer that sends a relayed request to a replica of which it knows that it leaves.
 func TestPeerRelaysNothingToLeavingReplica(t *testing.T) {
 	f := newFixture(t)
--- a/egress/receiver.go
+++ b/egress/receiver.go
@@ -89,7 +89,7 @@
 	defer response.Body.Close()
 	e.metrics.relayedForPeers.Inc()
 	onAnswer(response)
-	passOn(w, response, connection)
+	passOn(ctx, w, response, connection)
 }
 
 // relayContext returns the context of a relayed request.
@@ -155,8 +155,9 @@
 	_, _ = io.WriteString(w, message)
 }
 
-// passOn writes a replica's answer to a peer as it comes, and how it ended as the trailer.
-func passOn(w http.ResponseWriter, response *http.Response, connection zinniamast.Connection) {
+// passOn writes a replica's answer to a peer as it comes, and how it ended as the trailer. The
+// context is that of the send.
+func passOn(ctx context.Context, w http.ResponseWriter, response *http.Response, connection zinniamast.Connection) {
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
@@ -175,14 +176,17 @@
 	}
 	header.Set("Trailer", trailerEnd)
 	w.WriteHeader(response.StatusCode)
-	header.Set(trailerEnd, endOf(copyFlushing(w, response.Body)))
+	header.Set(trailerEnd, endOf(ctx, copyFlushing(w, response.Body)))
 }
 
-// endOf returns how an answer ended, from the error of its body.
-func endOf(err error) string {
+// endOf returns how an answer ended, from the error of its body. This instance has ended it itself,
+// for example as it stops, if the context has ended.
+func endOf(ctx context.Context, err error) string {
 	switch {
 	case err == nil:
 		return endWhole
+	case ctx.Err() != nil:
+		return string(zinniamast.FailureRelay)
 	case errors.Is(err, zinniamast.ErrPathLost):
 		return string(zinniamast.FailurePath)
 	}
