--- a/egress/egress.go
+++ b/egress/egress.go
@@ -41,6 +41,9 @@
 	// returns nil if there is none, and the ID of another replica of the service at which there
 	// is one; empty if there is none either. Nil means that there is never one.
 	TakePlace func(upstream *blackboard.Upstream) (taken *Place, other string)
+	// ReserveBody reserves memory for the body of a relayed request, of this many bytes. It returns
+	// false if there is not enough; nil means that there always is.
+	ReserveBody func(bytes int64) (release func(), ok bool)
 	// RequestID returns the ID of a request, for the log; nil means that none has one.
 	RequestID func(header http.Header) string
 	// Logger logs paths that go down and requests that are relayed; nil means slog's
@@ -87,6 +90,9 @@
 	if config.TakePlace == nil {
 		config.TakePlace = func(*blackboard.Upstream) (*Place, string) { return nil, "" }
 	}
+	if config.ReserveBody == nil {
+		config.ReserveBody = func(int64) (func(), bool) { return func() {}, true }
+	}
 	if config.RequestID == nil {
 		config.RequestID = func(http.Header) string { return "" }
 	}
--- a/egress/egress_test.go
+++ b/egress/egress_test.go
@@ -34,6 +34,8 @@
 	// peer is the server of the peer, and atPeer the peer's view of the replica.
 	peer   *httptest.Server
 	atPeer *blackboard.Upstream
+	// reserve is the peer's ReserveBody; nil reserves nothing.
+	reserve func(bytes int64) (func(), bool)
 	// abortAtPeer ends the requests that the peer relays, as a stop does.
 	abortAtPeer context.CancelFunc
 }
@@ -65,6 +67,12 @@
 		Upstreams: atPeer,
 		Probe:     func(context.Context, *blackboard.Upstream) error { return nil },
 		Logger:    slog.New(slog.DiscardHandler),
+		ReserveBody: func(bytes int64) (func(), bool) {
+			if f.reserve == nil {
+				return func() {}, true
+			}
+			return f.reserve(bytes)
+		},
 	})
 	f.atPeer = f.upstream(peer.Replica("i-1", plain.New(plain.Config{
 		Upstream: "i-1",
@@ -209,6 +217,30 @@
 	f.is.True(errors.Is(err, zinniamast.ErrRelayLost))
 }
 
+// Guards against relayed bodies that take more memory than the peer has, as nothing counts them.
+func TestRelayedBodiesReserveMemory(t *testing.T) {
+	f := newFixture(t)
+	var reserved, released atomic.Int64
+	isFull := false
+	f.reserve = func(bytes int64) (func(), bool) {
+		reserved.Add(bytes)
+		return func() { released.Add(bytes) }, !isFull
+	}
+	response, err := f.send(t.Context())
+	f.is.NoErr(err)
+	_, err = io.Copy(io.Discard, response.Body)
+	f.is.NoErr(err)
+	f.is.NoErr(response.Body.Close())
+	f.is.Equal(reserved.Load(), int64(len("body")))
+	for released.Load() < reserved.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	isFull = true
+	_, err = f.send(t.Context())
+	f.is.Equal(zinniamast.AsUpstreamError(err).Outcome().Ran, zinniamast.NotRun)
+	f.is.Equal(len(f.replica.Runs()), 1)
+}
+
 // Guards against a peer that sends a relayed request to a replica of which it knows that it leaves.
 func TestPeerRelaysNothingToLeavingReplica(t *testing.T) {
 	f := newFixture(t)
--- a/egress/receiver.go
+++ b/egress/receiver.go
@@ -69,6 +69,12 @@
 		defer e.releasePlace(place)
 		onAnswer = place.OnAnswer
 	}
+	release, ok := e.reserveBody(r)
+	if !ok {
+		writeOutcome(w, outcomeUnfit, "the bodies in memory leave no place for another")
+		return
+	}
+	defer release()
 	ctx, cancel := relayContext(r)
 	defer cancel()
 	request, err := e.receivedRequest(w, r, upstream)
@@ -92,6 +98,17 @@
 	passOn(ctx, w, response, connection)
 }
 
+// reserveBody reserves memory for the body of a relayed request. Peers send bodies with their length.
+func (e *Egress) reserveBody(r *http.Request) (release func(), ok bool) {
+	if r.ContentLength == 0 {
+		return func() {}, true
+	}
+	if r.ContentLength < 0 || r.ContentLength > maxRequestBytes {
+		return nil, false
+	}
+	return e.config.ReserveBody(r.ContentLength)
+}
+
 // relayContext returns the context of a relayed request.
 func relayContext(r *http.Request) (context.Context, context.CancelFunc) {
 	ms, err := strconv.ParseInt(r.Header.Get(headerTimeout), 10, 64)
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -272,7 +272,7 @@
 		Logger:        e.config.Logger,
 		Registerer:    e.registry,
 	})
-	handler := forward.New(forward.Config{
+	e.forward = forward.New(forward.Config{
 		Routes:        e.routes,
 		Upstreams:     e.board.Upstreams,
 		FailureDomain: s.FailureDomain,
@@ -301,7 +301,7 @@
 	serving, cancelRequests := context.WithCancelCause(context.Background())
 	e.cancelRequests = cancelRequests
 	e.callerServer = &http.Server{
-		Handler:           handler,
+		Handler:           e.forward,
 		BaseContext:       func(net.Listener) context.Context { return serving },
 		ConnContext:       forward.ConnContext,
 		ReadHeaderTimeout: headerTimeout,
--- a/entry/egress.go
+++ b/entry/egress.go
@@ -41,10 +41,11 @@
 		Holders: func(upstream *blackboard.Upstream) []string {
 			return e.owners.Holders(upstream.Instance.ID, upstream.Slots)
 		},
-		TakePlace:  e.takePlace,
-		RequestID:  platform.Headers{}.RequestID,
-		Logger:     e.config.Logger,
-		Registerer: e.registry,
+		TakePlace:   e.takePlace,
+		ReserveBody: func(bytes int64) (func(), bool) { return e.forward.ReserveBody(bytes) },
+		RequestID:   platform.Headers{}.RequestID,
+		Logger:      e.config.Logger,
+		Registerer:  e.registry,
 	})
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -141,6 +141,7 @@
 	scaling       *scaling.Controller
 	registry      *prometheus.Registry
 	egress        *egress.Egress
+	forward       *forward.Handler
 	callerServer  *http.Server
 	// gate decides which new connections of callers are taken.
 	gate *overload.Gate
--- a/forward/bodies.go
+++ b/forward/bodies.go
@@ -29,6 +29,18 @@
 	return true
 }
 
+// ReserveBody reserves memory for the body of another node's request, among those of this node's own
+// ones. It returns false if there is not enough.
+func (h *Handler) ReserveBody(bytes int64) (release func(), ok bool) {
+	r := reservation{
+		budget: &h.bodies,
+	}
+	if r.grow(bytes) != nil {
+		return nil, false
+	}
+	return r.release, true
+}
+
 // reservation is the memory that one request has reserved.
 type reservation struct {
 	budget *memoryBudget
--- a/forward/handler.go
+++ b/forward/handler.go
@@ -129,7 +129,8 @@
 	Demand Demand
 	// Closing reports whether the node is stopping and refuses new requests.
 	Closing func() bool
-	// MaxBodies bounds the bodies of all requests in memory, in bytes; zero means that nothing does.
+	// MaxBodies bounds the bodies of all requests in memory, in bytes, with those that are relayed for
+	// other nodes; zero means that nothing does.
 	MaxBodies int64
 	// MaxEvents bounds the unfinished events of all streams in memory, in bytes, beside a small
 	// buffer of each stream; zero means that nothing does.
