--- a/quarantine/one_domain_test.go
+++ b/quarantine/one_domain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,16 +88,16 @@
 func TestThirdCrashOfRestartedReplicaHoldsRequestBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		starts := 0
+		var starts atomic.Int64
 		c := newClusterWith(quarantine.Config{
 			FailureDomain: func(string) string { return "domain" },
-			Started:       func(string) time.Time { return time.UnixMilli(int64(1 + starts)) },
+			Started:       func(string) time.Time { return time.UnixMilli(1 + starts.Load()) },
 		})
 		defer time.Sleep(time.Second) // for gossip that is still in transit
 		for i := range 3 {
 			is.Equal(c.refusals(), nowhere)
 			c.crash(i, "only", firstInnocent+uint64(i))
-			starts++
+			starts.Add(1)
 		}
 		is.Equal(c.refusals(), everywhere)
 		_, err := c.nodes[0].Check(firstInnocent)
