Keep the refusals of a stopping node in a file of their own

A move without a change of behaviour; tests of forward and entry that concern stops, refusals and bodies pass.

--- a/forward/handler.go
+++ b/forward/handler.go
@@ -212,10 +212,6 @@
 // yet; it usually has one by then.
 const startingRetryAfter = 500 * time.Millisecond
 
-// stoppingRetryAfter is the retry delay sent by a stopping node. It is short
-// because the retry reaches another node.
-const stoppingRetryAfter = 50 * time.Millisecond
-
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -253,20 +249,6 @@
 	h.run(ctx, w, c)
 }
 
-// checkStop refuses a request that this node may have to abort before its deadline, as it stops.
-// Another node can still run it.
-func (h *Handler) checkStop(c *call) *zinniamast.Refusal {
-	stopsAt := h.config.StopsAt()
-	if stopsAt.IsZero() || !c.deadline.After(stopsAt) {
-		return nil
-	}
-	return refusalOfStop()
-}
-
-func refusalOfStop() *zinniamast.Refusal {
-	return zinniamast.Refuse(zinniamast.ReasonStopping, "this node stops").WithRetryAfter(stoppingRetryAfter)
-}
-
 // reportPanic logs a panic other than http.ErrAbortHandler, which closes a
 // connection on purpose: net/http reports a panic only at debug level, and the
 // caller sees nothing but a closed connection. The panic continues as
