--- a/egress/receiver.go
+++ b/egress/receiver.go
@@ -202,6 +202,8 @@
 	switch {
 	case err == nil:
 		return endWhole
+	case errors.Is(err, zinniamast.ErrMalformed):
+		return string(zinniamast.FailureError)
 	case ctx.Err() != nil:
 		return string(zinniamast.FailureRelay)
 	case errors.Is(err, zinniamast.ErrPathLost):
--- a/egress/relay.go
+++ b/egress/relay.go
@@ -244,6 +244,8 @@
 		return n, io.ErrUnexpectedEOF
 	case err == io.EOF && end == string(zinniamast.FailurePath):
 		return n, zinniamast.ErrPathLost
+	case err == io.EOF && end == string(zinniamast.FailureError):
+		return n, zinniamast.ErrMalformed
 	}
 	return n, fmt.Errorf("%w: %w", zinniamast.ErrRelayLost, err)
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -84,7 +84,7 @@
 		id:   config.ID,
 		base: config.Address,
 		client: &http.Client{
-			Transport: transport,
+			Transport: httplimit.NewStrictTransport(transport),
 		},
 	}
 }
@@ -240,6 +240,9 @@
 // transportFailure classifies an error of the transport. It distinguishes a
 // connection that was never established from one that broke.
 func transportFailure(err error) zinniamast.Failure {
+	if errors.Is(err, zinniamast.ErrMalformed) {
+		return zinniamast.FailureError
+	}
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
 		return zinniamast.FailureDial
--- a/failure.go
+++ b/failure.go
@@ -70,6 +70,9 @@
 // replica was lost, and not the replica.
 var ErrPathLost = errors.New("the path to the replica was lost")
 
+// ErrMalformed is the error of an answer that breaks HTTP in a way that net/http accepts.
+var ErrMalformed = errors.New("malformed answer")
+
 // ErrRelayLost is the error of an answer that ended early because the node that relayed it
 // was lost.
 var ErrRelayLost = errors.New("the relaying node was lost")
--- a/forward/send.go
+++ b/forward/send.go
@@ -433,6 +433,8 @@
 	switch {
 	case errors.Is(err, zinniamast.ErrRelayLost):
 		return zinniamast.FailureRelay
+	case errors.Is(err, zinniamast.ErrMalformed):
+		return zinniamast.FailureError
 	case errors.Is(err, zinniamast.ErrPathLost):
 		return zinniamast.FailurePath
 	case errors.Is(err, errEventTooLarge):
--- a/httplimit/client.go
+++ b/httplimit/client.go
@@ -1,4 +1,4 @@
-// Package httplimit builds HTTP clients that bound the time and size of answers.
+// Package httplimit builds HTTP clients that bound the time and size of answers and reject malformed ones.
 package httplimit
 
 import (
@@ -113,7 +113,7 @@
 	return &http.Client{
 		Timeout: c.Timeout,
 		Transport: &limitedTransport{
-			next:         transport,
+			next:         NewStrictTransport(transport),
 			maxBodyBytes: c.MaxBody,
 		},
 	}
@@ -123,7 +123,7 @@
 // answer would otherwise fill this node's memory. Cutting the read at the limit is
 // enough because no caller continues to read after an error.
 type limitedTransport struct {
-	next         *http.Transport
+	next         *StrictTransport
 	maxBodyBytes int64
 }
 
--- /dev/null
+++ b/httplimit/fields_test.go
@@ -0,0 +1,107 @@
+package httplimit_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"zinniamast"
+	"zinniamast/httplimit"
+	"zinniamast/standin/raw"
+)
+
+// get sends a request to a server that answers with the given bytes.
+func get(t *testing.T, client *http.Client, server *raw.Server) (body string, err error) {
+	t.Helper()
+	response, err := client.Get("http://" + server.Address())
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	return string(read), err
+}
+
+// newServer starts a server that answers with the given bytes, and a client.
+func newServer(t *testing.T, answer string) (*raw.Server, *http.Client) {
+	t.Helper()
+	server, err := raw.New(answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	client := httplimit.NewClient(httplimit.Config{
+		Timeout:        2 * time.Second,
+		MaxBody:        1 << 10,
+		MaxConnections: 1,
+	})
+	t.Cleanup(client.CloseIdleConnections)
+	return server, client
+}
+
+// Guards against answers that are believed although the name of a field holds a blank.
+func TestAnswerWithBlankInFieldNameIsRejected(t *testing.T) {
+	for name, answer := range map[string]string{
+		"head":                "HTTP/1.1 200 OK\r\nX-Bad Name: 1\r\nContent-Length: 2\r\n\r\n{}",
+		"blank before colon":  "HTTP/1.1 200 OK\r\nX-Bad : 1\r\nContent-Length: 2\r\n\r\n{}",
+		"length":              "HTTP/1.1 200 OK\r\nContent-Length : 9\r\nContent-Length: 2\r\n\r\n{}",
+		"head without a body": "HTTP/1.1 204 No Content\r\nX-Bad Name: 1\r\n\r\n",
+		"interim head":        "HTTP/1.1 103 Early Hints\r\nX-Bad Name: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"trailer":             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX-Bad Name: 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server, client := newServer(t, answer)
+			for i := range 3 {
+				_, err := get(t, client, server)
+				is.True(errors.Is(err, zinniamast.ErrMalformed))
+				is.Equal(server.Requests(), i+1)
+				if name != "trailer" { // Its end is known.
+					is.Equal(server.Connections(), i+1)
+				}
+			}
+		})
+	}
+}
+
+// Guards against rejecting valid answers and opening a connection for each.
+func TestValidAnswerIsReturned(t *testing.T) {
+	for name, answer := range map[string]string{
+		"length":   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"interim":  "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"trailer":  "HTTP/1.1 200 OK\r\nTrailer: X-Sum, X Y\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"folded":   "HTTP/1.1 200 OK\r\nX-Folded: a\r\n  b : c\r\nContent-Length: 2\r\n\r\n{}",
+		"no fault": "HTTP/1.1 200 OK\r\nX-Blanks:  a  b \r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server, client := newServer(t, answer)
+			for range 3 {
+				body, err := get(t, client, server)
+				is.NoErr(err)
+				is.Equal(body, "{}")
+			}
+			is.Equal(server.Connections(), 1)
+		})
+	}
+}
+
+// Guards against interim answers without end, which net/http does not bound for a client that looks at them.
+func TestInterimAnswersAreBounded(t *testing.T) {
+	for name, interim := range map[string]string{
+		"with a field":   "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+		"without fields": "HTTP/1.1 102 Processing\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server, client := newServer(t, strings.Repeat(interim, 2*httplimit.MaxHeaderBytes/len(interim)))
+			_, err := get(t, client, server)
+			is.True(errors.Is(err, httplimit.ErrTooLarge))
+		})
+	}
+}
--- a/plain/client.go
+++ b/plain/client.go
@@ -127,8 +127,9 @@
 		guard.request, guard.requestID = c.config.RequestID(request.Header), c.config.RequestID
 	}
 	trace := &httptrace.ClientTrace{
-		GotConn:      guard.gotConn,
-		WroteRequest: guard.wroteRequest,
+		GotConn:        guard.gotConn,
+		WroteRequest:   guard.wroteRequest,
+		Got1xxResponse: guard.interim.Check,
 	}
 	response, err := c.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
@@ -136,18 +137,28 @@
 		cancel()
 		return nil, failure
 	}
-	response.Body = &cancelBody{
+	response.Body = &answerBody{
 		ReadCloser: response.Body,
+		response:   response,
 		cancel:     cancel,
 	}
-	if !isFinalStatus(response.StatusCode) {
-		cancel() // the connection must not be used again
+	if err := checkHead(response); err != nil {
+		guard.spoil()
+		cancel() // ends the connection if the answer has a body
 		_ = response.Body.Close()
-		return nil, c.upstreamError(zinniamast.FailureError, fmt.Errorf("plain: answer with the invalid status %q", response.Status))
+		return nil, c.upstreamError(zinniamast.FailureError, err)
 	}
 	return response, nil
 }
 
+// checkHead returns the error of an answer whose head net/http accepts although it is invalid.
+func checkHead(response *http.Response) error {
+	if !isFinalStatus(response.StatusCode) {
+		return fmt.Errorf("plain: answer with the invalid status %q", response.Status)
+	}
+	return httplimit.CheckNames(response.Header)
+}
+
 // isFinalStatus reports whether a status may end a request (RFC 9110, section 15). net/http also
 // returns other three-digit ones, and 101, which no request here asks for.
 func isFinalStatus(status int) bool { return status >= 200 && status <= 599 }
@@ -159,14 +170,21 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !isHead
 }
 
-// cancelBody cancels the context of the attempt when the body is closed.
-type cancelBody struct {
+// answerBody is the body of an answer. It cancels the context of the attempt when it is closed.
+type answerBody struct {
 	io.ReadCloser
-	cancel context.CancelFunc
+	response *http.Response
+	cancel   context.CancelFunc
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	return n, httplimit.CheckEnd(b.response, err)
 }
 
 // Close implements io.Closer.
-func (b *cancelBody) Close() error {
+func (b *answerBody) Close() error {
 	err := b.ReadCloser.Close()
 	b.cancel()
 	return err
@@ -195,6 +213,9 @@
 // an answer arrived.
 func (c *Client) classifyUnanswered(ctx context.Context, guard *sendGuard, err error) error {
 	err = guard.describe(err)
+	if errors.Is(err, zinniamast.ErrMalformed) {
+		return c.upstreamError(zinniamast.FailureError, err)
+	}
 	canceled := errors.Is(ctx.Err(), context.Canceled) && !guard.replayed
 	if guard.nothingSent() && !canceled {
 		return c.upstreamError(zinniamast.FailureDial, err)
@@ -247,6 +268,8 @@
 // arrive completely.
 func (c *Client) classifyUnfinished(ctx context.Context, err error) error {
 	switch {
+	case errors.Is(err, zinniamast.ErrMalformed):
+		return c.upstreamError(zinniamast.FailureError, err)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return c.upstreamError(zinniamast.FailureTimeout, err)
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -176,6 +176,7 @@
 	requestID func(http.Header) string
 	deadline  time.Time
 	cancel    context.CancelFunc
+	interim   httplimit.Interim
 
 	mu       sync.Mutex
 	current  *conn
@@ -216,6 +217,15 @@
 	next.requests++
 }
 
+// spoil keeps the request's connection from being used again.
+func (g *sendGuard) spoil() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.current != nil {
+		g.current.spoil()
+	}
+}
+
 // describe adds to the error of a request whether it was sent on a reused connection. A
 // partition may leave those open and silent.
 func (g *sendGuard) describe(err error) error {
--- a/plain/copies.go
+++ b/plain/copies.go
@@ -3,11 +3,12 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"io"
 	"net/http"
 
 	"github.com/zeebo/xxh3"
+
+	"zinniamast/httplimit"
 )
 
 const (
@@ -109,7 +110,7 @@
 // whose end is marked.
 func (c *conn) isCopy(request *awaited) bool {
 	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(c.held)), nil)
-	if err != nil || EndsWithConnection(response) {
+	if err != nil || EndsWithConnection(response) || checkHead(response) != nil {
 		return false
 	}
 	id := request.idOf(response.Header)
@@ -126,7 +127,7 @@
 		return false
 	}
 	_, err = io.CopyN(io.Discard, response.Body, maxCopyBody)
-	if !errors.Is(err, io.EOF) {
+	if err = httplimit.CheckEnd(response, err); err != io.EOF {
 		return false
 	}
 	rest, _ := reader.Peek(reader.Buffered())
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -87,6 +87,12 @@
 	// RawStatus is the status in the first line of an unframed answer; empty means that of
 	// Status.
 	RawStatus string
+	// RawField is a line that is added to the head of an unframed answer as it is, InterimField
+	// one in the head of an interim answer before it, and TrailerField one in a trailer, for which
+	// the answer has chunks; empty adds none.
+	RawField     string
+	InterimField string
+	TrailerField string
 	// Early answers before the body of the request is read, of which nothing is read then.
 	Early bool
 	// Endless lets an unframed answer go on with bytes that end no event until the caller
