--- a/egress/fields_test.go
+++ b/egress/malformed_test.go
@@ -20,6 +20,11 @@
 			Unframed:     true,
 			InterimField: "X-Bad : 1",
 		},
+		{
+			Unframed:   true,
+			RawVersion: "HTTP/1.0",
+			RawField:   "Transfer-Encoding: chunked",
+		},
 	} {
 		f := newFixture(t)
 		f.replica.SetBehaviour(behaviour)
--- a/engine/client.go
+++ b/engine/client.go
@@ -64,9 +64,9 @@
 // NewTransport returns a transport that clients can share.
 func NewTransport() *http.Transport {
 	return &http.Transport{
-		DialContext: (&net.Dialer{
+		DialContext: httplimit.Recorded((&net.Dialer{
 			Timeout: dialTimeout,
-		}).DialContext,
+		}).DialContext),
 		MaxIdleConnsPerHost: maxIdleConnsPerReplica,
 		IdleConnTimeout:     idleConnTimeout,
 
--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -16,6 +16,7 @@
 		"stream":       "HTTP/1.1 200 OK\r\nContent-Length : 45\r\nContent-Length: 0\r\n\r\n",
 		"refusal":      "HTTP/1.1 503 Service Unavailable\r\nX-Bad Name: 1\r\nContent-Length: 0\r\n\r\n",
 		"interim head": "HTTP/1.1 103 Early Hints\r\nX-Bad Name: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"framing":      "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n",
 		"status":       "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/forward/fields_test.go
+++ b/forward/malformed_test.go
@@ -9,7 +9,8 @@
 	"zinniamast/standin/replica"
 )
 
-// malformed are answers with a field whose name holds a blank.
+// malformed are answers that net/http accepts: with a field whose name holds a blank, and with a framing that
+// their version does not have.
 var malformed = map[string]replica.Behaviour{
 	"blank in a name": {
 		Unframed: true,
@@ -27,10 +28,15 @@
 		Unframed:     true,
 		TrailerField: "X-Bad Name: 1",
 	},
+	"framing": {
+		Unframed:   true,
+		RawVersion: "HTTP/1.0",
+		RawField:   "Transfer-Encoding: chunked",
+	},
 }
 
-// Guards against an answer with a malformed field that reaches the caller as a success.
-func TestAnswerWithMalformedFieldIsReplicasFailure(t *testing.T) {
+// Guards against a malformed answer that reaches the caller as a success.
+func TestMalformedAnswerIsReplicasFailure(t *testing.T) {
 	for name, behaviour := range malformed {
 		for path, runs := range map[string]int{pathUnsafe: 1, pathSafe: 2, pathStream: 1, pathResumable: 2} {
 			t.Run(name+path, func(t *testing.T) {
--- a/httplimit/client.go
+++ b/httplimit/client.go
@@ -99,9 +99,9 @@
 // NewClient returns a client with the limits of the configuration.
 func NewClient(c Config) *http.Client {
 	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		DialContext: Recorded(func(ctx context.Context, network, address string) (net.Conn, error) {
 			return DialAbortive(ctx, Dialer(dialTimeout), network, address)
-		},
+		}),
 		MaxConnsPerHost:       c.MaxConnections,
 		MaxIdleConnsPerHost:   c.MaxConnections,
 		IdleConnTimeout:       30 * time.Second,
--- a/httplimit/fields.go
+++ b/httplimit/fields.go
@@ -44,8 +44,8 @@
 	return CheckNames(fields)
 }
 
-// StrictTransport rejects answers with malformed fields, which net/http accepts. It implements
-// http.RoundTripper.
+// StrictTransport rejects answers with malformed fields or faulty framing, which net/http accepts. It
+// implements http.RoundTripper.
 type StrictTransport struct {
 	next *http.Transport
 }
@@ -60,14 +60,25 @@
 // RoundTrip implements http.RoundTripper.
 func (s *StrictTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	interim := &Interim{}
+	var head *Head
 	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*recordedConn); ok {
+				head = &conn.head
+				head.Reset()
+			}
+		},
 		Got1xxResponse: interim.Check,
 	}
 	response, err := s.next.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckNames(response.Header); err != nil {
+	err = CheckNames(response.Header)
+	if err == nil && head != nil {
+		err = head.Check(response)
+	}
+	if err != nil {
 		_ = response.Body.Close()
 		s.next.CloseIdleConnections() // The connection of an answer without a body is already idle.
 		return nil, err
--- a/httplimit/fields_test.go
+++ b/httplimit/fields_test.go
@@ -69,12 +69,40 @@
 	}
 }
 
+// Guards against answers that are believed although their version has no transfer codings.
+func TestAnswerWithFaultyFramingIsRejected(t *testing.T) {
+	for name, head := range map[string]string{
+		"closed":   "HTTP/1.0 200 OK\r\n",
+		"kept":     "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 12\r\n",
+		"not 1.1":  "HTTP/0.9 200 OK\r\nContent-Length: 12\r\n",
+		"no body":  "HTTP/1.0 204 No Content\r\nConnection: keep-alive\r\n",
+		"interim":  "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nContent-Length: 12\r\n",
+		"identity": "HTTP/1.0 200 OK\r\nContent-Length: 12\r\ntransfer-encoding: identity\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			body := "2\r\n{}\r\n0\r\n\r\n"
+			if name == "no body" {
+				body = ""
+			}
+			server, client := newServer(t, head+"Transfer-Encoding: chunked\r\n\r\n"+body)
+			for i := range 3 {
+				_, err := get(t, client, server)
+				is.True(errors.Is(err, zinniamast.ErrMalformed))
+				is.Equal(server.Requests(), i+1)
+				is.Equal(server.Connections(), i+1)
+			}
+		})
+	}
+}
+
 // Guards against rejecting valid answers and opening a connection for each.
 func TestValidAnswerIsReturned(t *testing.T) {
 	for name, answer := range map[string]string{
 		"length":   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 		"interim":  "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 		"trailer":  "HTTP/1.1 200 OK\r\nTrailer: X-Sum, X Y\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX-Sum: 1\r\n\r\n",
+		"HTTP/1.0": "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\n{}",
 		"folded":   "HTTP/1.1 200 OK\r\nX-Folded: a\r\n  b : c\r\nContent-Length: 2\r\n\r\n{}",
 		"no fault": "HTTP/1.1 200 OK\r\nX-Blanks:  a  b \r\nContent-Length: 2\r\n\r\n{}",
 	} {
--- a/plain/client.go
+++ b/plain/client.go
@@ -142,7 +142,11 @@
 		response:   response,
 		cancel:     cancel,
 	}
-	if err := checkHead(response); err != nil {
+	err = checkHead(response)
+	if err == nil {
+		err = guard.checkFraming(response)
+	}
+	if err != nil {
 		guard.spoil()
 		cancel() // ends the connection if the answer has a body
 		_ = response.Body.Close()
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -47,6 +47,8 @@
 	// awaited is the present request until its answer begins to arrive; nil before and after that,
 	// and if it has no ID.
 	awaited atomic.Pointer[awaited]
+	// head is that of the answer to the current request.
+	head httplimit.Head
 	// held holds bytes that were read ahead; only Read uses it.
 	held []byte
 
@@ -95,6 +97,7 @@
 // prepare resets the connection for a request that may be sent until the deadline.
 func (c *conn) prepare(deadline time.Time) {
 	c.upload.Store(newUpload())
+	c.head.Reset()
 	c.deadline.Store(deadline.UnixNano())
 	c.state.Store(unsent)
 }
@@ -121,6 +124,13 @@
 	return c.upload.Load().write(c.Conn, p)
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.readAnswer(p)
+	c.head.Add(p[:n])
+	return n, err
+}
+
 // read reads from the network.
 func (c *conn) read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -131,7 +141,7 @@
 }
 
 // DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+type DialFunc = httplimit.DialFunc
 
 // guarded returns a dial function whose connections are of type *conn.
 func guarded(dial DialFunc) DialFunc {
@@ -226,6 +236,16 @@
 	}
 }
 
+// checkFraming returns the error of an answer with faulty framing that net/http accepts.
+func (g *sendGuard) checkFraming(response *http.Response) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.current == nil {
+		return nil
+	}
+	return g.current.head.Check(response)
+}
+
 // describe adds to the error of a request whether it was sent on a reused connection. A
 // partition may leave those open and silent.
 func (g *sendGuard) describe(err error) error {
--- a/plain/copies.go
+++ b/plain/copies.go
@@ -40,9 +40,9 @@
 	})
 }
 
-// Read implements net.Conn. It discards second copies of answers to earlier requests that arrive
+// readAnswer reads from the network without second copies of answers to earlier requests that arrive
 // ahead of the answer to the present one, whose caller would otherwise not learn how it has ended.
-func (c *conn) Read(p []byte) (int, error) {
+func (c *conn) readAnswer(p []byte) (int, error) {
 	for len(c.held) == 0 {
 		n, err := c.read(p)
 		request := c.awaited.Load()
@@ -110,7 +110,7 @@
 // whose end is marked.
 func (c *conn) isCopy(request *awaited) bool {
 	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(c.held)), nil)
-	if err != nil || EndsWithConnection(response) || checkHead(response) != nil {
+	if err != nil || EndsWithConnection(response) || checkHead(response) != nil || httplimit.CheckFraming(response, c.held) != nil {
 		return false
 	}
 	id := request.idOf(response.Header)
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -87,6 +87,8 @@
 	// RawStatus is the status in the first line of an unframed answer; empty means that of
 	// Status.
 	RawStatus string
+	// RawVersion is the version in that line; empty means HTTP/1.1.
+	RawVersion string
 	// RawField is a line that is added to the head of an unframed answer as it is, InterimField
 	// one in the head of an interim answer before it, and TrailerField one in a trailer, for which
 	// the answer has chunks; empty adds none.
--- a/standin/replica/unframed.go
+++ b/standin/replica/unframed.go
@@ -30,7 +30,7 @@
 	if b.InterimField != "" {
 		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 103 Early Hints\r\n%s\r\n\r\n", b.InterimField)
 	}
-	_, _ = fmt.Fprintf(buffered, "HTTP/1.1 %s %s\r\n", cmp.Or(b.RawStatus, strconv.Itoa(status)), http.StatusText(status))
+	_, _ = fmt.Fprintf(buffered, "%s %s %s\r\n", cmp.Or(b.RawVersion, "HTTP/1.1"), cmp.Or(b.RawStatus, strconv.Itoa(status)), http.StatusText(status))
 	_ = header.Write(buffered)
 	if b.RawField != "" {
 		_, _ = fmt.Fprintf(buffered, "%s\r\n", b.RawField)
