--- a/platformapi/client.go
+++ b/platformapi/client.go
@@ -144,7 +144,8 @@
 	return c.call(ctx, http.MethodPost, c.config.WeightsURL+"/"+url.PathEscape(model)+"/permit", nil, nil)
 }
 
-// call sends one request and decodes the response into result unless it is nil.
+// call sends one request and decodes the response into result unless it is nil. It reads the response to
+// its end.
 func (c *Client) call(ctx context.Context, method, address string, body, result any) error {
 	var content io.Reader
 	if body != nil {
@@ -169,7 +170,8 @@
 		return merry.Prependf(err, "platform: %s %s", method, request.URL.Path)
 	}
 	if result == nil {
-		return nil
+		_, err := io.Copy(io.Discard, response.Body)
+		return merry.Prepend(err, "platform")
 	}
 	return merry.Prepend(decode(response, result), "platform")
 }
--- a/platformapi/response.go
+++ b/platformapi/response.go
@@ -2,9 +2,10 @@
 
 import (
 	"compress/gzip"
-	"encoding/json"
 	"io"
 	"net/http"
+
+	"zinniamast/httplimit"
 )
 
 const encodingGzip = "gzip"
@@ -47,7 +48,7 @@
 	if ok {
 		result = counted.result
 	}
-	err := json.NewDecoder(content).Decode(result)
+	err := httplimit.DecodeJSON(content, result)
 	if ok {
 		counted.bytes = wire.bytes
 	}
--- a/standin/raw/raw.go
+++ b/standin/raw/raw.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 )
 
@@ -18,7 +19,8 @@
 	conns    atomic.Int64
 }
 
-// New starts a server on a free port. It keeps a connection until its client closes it.
+// New starts a server on a free port. It keeps a connection until its client closes it, or until an answer
+// with the line "Connection: close".
 func New(answer string) (*Server, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -67,7 +69,7 @@
 			return
 		}
 		s.requests.Add(1)
-		if _, err := io.WriteString(conn, s.answer); err != nil {
+		if _, err := io.WriteString(conn, s.answer); err != nil || strings.Contains(s.answer, "\r\nConnection: close\r\n") {
 			return
 		}
 	}
