--- a/plain/fields_test.go
+++ b/plain/fields_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"zinniamast"
+	"zinniamast/plain"
 )
 
 // The places of a field in an answer.
@@ -112,6 +113,17 @@
 	}
 }
 
+// sendWithID sends a request with an ID to a wireServer.
+func sendWithID(t *testing.T, client *plain.Client, address, id string) (*http.Response, error) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Id", id)
+	return client.Send(t.Context(), request)
+}
+
 // Guards against using a connection again whose last answer may have had another length than the one that was read.
 func TestConnectionOfMalformedAnswerIsNotUsedAgain(t *testing.T) {
 	for name, answer := range map[string]string{
@@ -131,10 +143,7 @@
 			defer client.Close()
 			address := server.listener.Addr().String()
 			get(t, client, address, "r-0")
-			request, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
-			is.NoErr(err)
-			request.Header.Set("Id", "r-1")
-			_, err = client.Send(t.Context(), request)
+			_, err := sendWithID(t, client, address, "r-1")
 			is.True(err != nil)
 			answered, body, requests := get(t, client, address, "r-2")
 			is.Equal(answered, "r-2")
@@ -164,10 +173,7 @@
 			defer client.Close()
 			address := server.listener.Addr().String()
 			get(t, client, address, "r-1")
-			request, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
-			is.NoErr(err)
-			request.Header.Set("Id", "r-2")
-			response, err := client.Send(t.Context(), request)
+			response, err := sendWithID(t, client, address, "r-2")
 			if err == nil {
 				defer response.Body.Close()
 				is.Equal(response.Header.Get("Id"), "r-1") // The caller of Send rejects it by its ID.
--- a/plain/version_test.go
+++ b/plain/version_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net/http"
 	"strings"
 	"testing"
 
@@ -48,9 +47,7 @@
 			return []string{head[:size], head[size:] + "2\r\n{}\r\n0\r\n\r\n"}
 		})
 		client := server.client()
-		request, err := http.NewRequest(http.MethodGet, "http://"+server.listener.Addr().String(), nil)
-		is.NoErr(err)
-		_, err = client.Send(t.Context(), request)
+		_, err := sendWithID(t, client, server.listener.Addr().String(), "r-1")
 		client.Close()
 		is.True(errors.Is(err, zinniamast.ErrMalformed))
 	}
@@ -100,10 +97,7 @@
 		is.Equal(answered, id)
 		is.Equal(requests, i)
 	}
-	request, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
-	is.NoErr(err)
-	request.Header.Set("Id", "r-4")
-	_, err = client.Send(t.Context(), request)
+	_, err := sendWithID(t, client, address, "r-4")
 	is.True(errors.Is(err, zinniamast.ErrMalformed))
 	_, _, requests := get(t, client, address, "r-5")
 	is.Equal(requests, 0)
@@ -123,9 +117,6 @@
 	defer client.Close()
 	address := server.listener.Addr().String()
 	get(t, client, address, "r-1")
-	request, err := http.NewRequest(http.MethodGet, "http://"+address, nil)
-	is.NoErr(err)
-	request.Header.Set("Id", "r-2")
-	_, err = client.Send(t.Context(), request)
+	_, err := sendWithID(t, client, address, "r-2")
 	is.True(errors.Is(err, zinniamast.ErrMalformed))
 }
