--- a/plain/version_test.go
+++ b/plain/version_test.go
@@ -18,7 +18,7 @@
 		"length":         "HTTP/1.0 200 OK\r\nContent-Length: 25\r\n",
 		"other case":     "HTTP/1.0 200 OK\r\nX: 1\r\ntransfer-encoding: chunked\r\n",
 		"older version":  "HTTP/0.9 200 OK\r\n",
-		"after an 103":   "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.0 200 OK\r\n",
+		"after a 103":    "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.0 200 OK\r\n",
 		"after two 1xx":  "HTTP/1.0 100 Continue\r\n\r\nHTTP/1.0 102 Processing\r\n\r\nHTTP/1.0 200 OK\r\n",
 		"bare line feed": "HTTP/1.0 200 OK\nContent-Length: 25\n",
 		"large head":     "HTTP/1.0 200 OK\r\nX-Large: " + strings.Repeat("x", 50<<10) + "\r\n",
