--- a/plain/version_test.go
+++ b/plain/version_test.go
@@ -76,8 +76,7 @@
 	}
 }
 
-// Guards against taking the field from the head or body of an earlier answer on the connection, and against
-// using the connection of a rejected one again.
+// Guards against taking the field from an earlier answer on the connection, and using that of a rejected one again.
 func TestAnswersOnOneConnectionAreCheckedOnTheirOwn(t *testing.T) {
 	is := is.New(t)
 	old := func(id, fields string) string {
