--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -40,8 +40,9 @@
 // that is retried within a failing domain is involved in the crashes of several
 // replicas.
 //
-// For the successive crashes, those within crashReportTimeout count once: the nodes
-// that ran copies of the request may not have known of each other's crashes.
+// For the successive crashes, those observed within crashReportTimeout count once: the nodes
+// that ran copies of the request may not have known of each other's crashes. Reports arrive
+// late and in any order, so the times at which this node learned of the crashes do not tell.
 //
 // A late report of a crash must not hold a request back again after an operator
 // freed it. Therefore crashes that were reported before the request was freed
@@ -51,7 +52,7 @@
 	cleared := q.clearedAt[fingerprint]
 	freed := q.freed[fingerprint].at
 	counted := map[string]time.Time{}
-	var lastSuccessive, lastWritten time.Time
+	successive, written := make([]time.Time, 0, 4), make([]time.Time, 0, 4)
 	for _, c := range q.crashes {
 		reported, isSuspect := c.suspects()[fingerprint]
 		if !isSuspect {
@@ -62,15 +63,15 @@
 		}
 		e.lastReport = reported
 		if !isSuspect {
-			if e.written == 0 || c.at.Sub(lastWritten) >= crashReportTimeout {
+			if isSuccessive(written, c) {
+				written = append(written, c.observed)
 				e.written++
-				lastWritten = c.at
 			}
 			continue
 		}
-		if e.involved == 0 || c.at.Sub(lastSuccessive) >= crashReportTimeout {
+		if isSuccessive(successive, c) {
+			successive = append(successive, c.observed)
 			e.involved++
-			lastSuccessive = c.at
 		}
 		e.lastInvolved = c
 		if q.isDomainFailure(c, fingerprint) {
@@ -89,6 +90,16 @@
 	return e
 }
 
+// isSuccessive reports whether a crash is not within crashReportTimeout of another one that counted.
+func isSuccessive(counted []time.Time, c *crash) bool {
+	for _, at := range counted {
+		if c.observed.Sub(at).Abs() < crashReportTimeout {
+			return false
+		}
+	}
+	return true
+}
+
 // isCulprit reports whether the evidence is sufficient to hold a request back.
 // The caller holds the lock.
 //
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -62,3 +62,48 @@
 		is.NoErr(err) // it was in two crashes
 	})
 }
+
+// crashSeenBy runs the poison request at one node and an innocent one at another on the same replica, which crashes.
+func (c *cluster) crashSeenBy(node, other int, replica string, innocent uint64) {
+	c.nodes[node].AttemptStarted(replica, poisonFingerprint)
+	c.nodes[other].AttemptStarted(replica, innocent)
+	time.Sleep(50 * time.Millisecond)
+	c.nodes[node].ReplicaCrashed(replica)
+	c.nodes[other].ReplicaCrashed(replica)
+	c.nodes[node].AttemptEnded(replica, poisonFingerprint, false)
+	c.nodes[other].AttemptEnded(replica, innocent, false)
+}
+
+// Guards against merging successive crashes because a node heard of the first one later than of the second.
+func TestLateReportDoesNotMergeSuccessiveCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newDomainCluster()
+		defer time.Sleep(time.Second) // for gossip that is still in transit
+		c.crashSeenBy(0, 1, "r1", firstInnocent)
+		time.Sleep(500 * time.Millisecond)
+		c.crashSeenBy(0, 2, "r2", firstInnocent+1)
+		time.Sleep(time.Second)
+		c.crashSeenBy(0, 2, "r3", firstInnocent+2)
+		time.Sleep(time.Second)
+		_, err := c.nodes[2].Check(poisonFingerprint)
+		is.True(err != nil)
+	})
+}
+
+// Guards against counting the crashes of copies of a request as successive because a report was late.
+func TestLateReportDoesNotSeparateCrashesOfCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newDomainCluster()
+		defer time.Sleep(time.Second) // for gossip that is still in transit
+		c.crashSeenBy(2, 0, "r1", firstInnocent)
+		time.Sleep(250 * time.Millisecond)
+		c.crashSeenBy(0, 1, "r2", firstInnocent+1)
+		time.Sleep(time.Second)
+		c.crashSeenBy(2, 1, "r3", firstInnocent+2)
+		time.Sleep(time.Second)
+		_, err := c.nodes[2].Check(poisonFingerprint)
+		is.NoErr(err) // the first two count once
+	})
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -91,7 +91,10 @@
 type crash struct {
 	upstream string
 	domain   string
-	at       time.Time
+	// at is when this node learned of the crash.
+	at time.Time
+	// observed is when the first node observed the crash, of those that reported it.
+	observed time.Time
 	// started is when the replica that crashed had been started.
 	started time.Time
 	// running holds the fingerprints of the requests that ran on the replica, as
@@ -374,20 +377,20 @@
 // replica and reports whether any of them was not recorded before. The caller holds
 // the lock.
 func (q *Quarantine) recordCrash(upstream string, running []uint64, reportedAt time.Time, reporter string) bool {
-	c := q.crashOf(upstream)
+	c := q.crashOf(upstream, reportedAt)
 	return q.recordRuns(c, c.running, running, reportedAt, reporter)
 }
 
 // recordWriting is recordCrash for the requests that the replica had been answering for a
 // while. The caller holds the lock.
 func (q *Quarantine) recordWriting(upstream string, writing []uint64, reportedAt time.Time, reporter string) bool {
-	c := q.crashOf(upstream)
+	c := q.crashOf(upstream, reportedAt)
 	return q.recordRuns(c, c.writing, writing, reportedAt, reporter)
 }
 
 // crashOf returns the crash to which a report about a replica belongs, which may be a new one.
 // The caller holds the lock.
-func (q *Quarantine) crashOf(upstream string) *crash {
+func (q *Quarantine) crashOf(upstream string, reportedAt time.Time) *crash {
 	now := time.Now()
 	c := q.findRecentCrash(upstream, now)
 	if c == nil {
@@ -395,6 +398,7 @@
 			upstream: upstream,
 			domain:   q.config.FailureDomain(upstream),
 			at:       now,
+			observed: now,
 			started:  q.config.Started(upstream),
 			running:  map[uint64]time.Time{},
 			writing:  map[uint64]time.Time{},
@@ -402,6 +406,9 @@
 		q.crashes = append(q.crashes, c)
 		q.metrics.crashes.Inc()
 	}
+	if reportedAt.Before(c.observed) {
+		c.observed = reportedAt
+	}
 	return c
 }
 
