Close only the connection of a malformed answer (MIXED)

Engine clients of one node share a transport. Since an answer of one engine with a blank in a field name, or with faulty framing, closed all idle connections of that transport: the next calls to the other engines had to dial. No answer was wrong. Found by reading the change, seen by no caller; entry instances do not use this client.

Cause: net/http has put the connection of an answer without a body back among the idle ones when the answer is checked, and the only call that reaches it there closes all. Now the connection that GotConn named is closed. A connection of HTTP/2 carries other answers and stays; net/http rejects blanks in the names of its fields.

Evidence: TestMalformedAnswerClosesItsConnectionOnly fails before in 3 of 4 cases, where a server beside it got 3 connections for 3 requests, and passes now with 1; the fourth, interim heads, passed before. The package 3 times, its tests of malformed answers 20 times with -race.

--- a/httplimit/fields_test.go
+++ b/httplimit/fields_test.go
@@ -69,6 +69,30 @@
 	}
 }
 
+// Guards against closing the connections to other servers that use the same transport.
+func TestMalformedAnswerClosesItsConnectionOnly(t *testing.T) {
+	for name, answer := range map[string]string{
+		"head":                "HTTP/1.1 200 OK\r\nX-Bad Name: 1\r\nContent-Length: 2\r\n\r\n{}",
+		"head without a body": "HTTP/1.1 204 No Content\r\nX-Bad Name: 1\r\n\r\n",
+		"interim head":        "HTTP/1.1 103 Early Hints\r\nX-Bad Name: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"framing":             "HTTP/1.0 204 No Content\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			other, client := newServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			server, _ := newServer(t, answer)
+			for i := range 3 {
+				_, err := get(t, client, other)
+				is.NoErr(err)
+				_, err = get(t, client, server)
+				is.True(errors.Is(err, zinniamast.ErrMalformed))
+				is.Equal(server.Connections(), i+1)
+			}
+			is.Equal(other.Connections(), 1)
+		})
+	}
+}
+
 // Guards against answers that are believed although their version has no transfer codings.
 func TestAnswerWithFaultyFramingIsRejected(t *testing.T) {
 	for name, head := range map[string]string{
--- a/httplimit/strict.go
+++ b/httplimit/strict.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 )
@@ -22,11 +23,13 @@
 // RoundTrip implements http.RoundTripper.
 func (s *StrictTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	interim := &Interim{}
+	var conn net.Conn
 	var head *Head
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, ok := info.Conn.(*recordedConn); ok {
-				head = &conn.head
+			conn, head = info.Conn, nil
+			if recorded, ok := conn.(*recordedConn); ok {
+				head = &recorded.head
 				head.Reset()
 			}
 		},
@@ -42,7 +45,9 @@
 	}
 	if err != nil {
 		_ = response.Body.Close()
-		s.next.CloseIdleConnections() // The connection of an answer without a body is already idle.
+		if conn != nil && response.ProtoMajor == 1 { // One of HTTP/2 carries other answers too.
+			_ = conn.Close() // After an answer without a body it is already idle.
+		}
 		return nil, err
 	}
 	response.Body = &checkedBody{
